Run the decision module as a border controller on the platform's sockets

A caller's CANCEL made the client side doubt its connection at once and put the BYE of a crossed answer on a new one, ahead of the ACK; it now doubts only after the time that a connect may take.

--- a/badgerstile/control.py
+++ b/badgerstile/control.py
@@ -448,7 +448,7 @@
         del self.calls[call.id]
         self._got_nowhere(call)
         advice = self.set.max_retry_advice_ms if self.set.retry_advice else 0.0
-        self.actions.append(GiveUp(call.id) if self._spent(call) else Refuse(call.id, advice))
+        self.actions.append(GiveUp(call.id, advice) if self._spent(call) else Refuse(call.id, advice))
 
     def _spent(self, call: Call) -> bool:
         """The call may have run, and is of a class that must not run twice."""
--- a/badgerstile/interface.py
+++ b/badgerstile/interface.py
@@ -223,7 +223,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
+    """The simulator's wire has no come-back time for it; real callers are told."""
+
     call: int
+    come_back_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/badgerstile/wire.py
+++ b/badgerstile/wire.py
@@ -312,7 +312,7 @@
             code, body = 1, struct.pack(">I6sd", call, exchange, wait)
         case Refuse(call, come_back):
             code, body = 2, struct.pack(">Id", call, come_back)
-        case GiveUp(call):
+        case GiveUp(call, _):
             code, body = 3, _U32.pack(call)
         case WakeAt(at, token):
             code, body = 5, struct.pack(">dQ", at, token)
--- /dev/null
+++ b/landingdeal/core/broker.py
@@ -0,0 +1,416 @@
+"""The core: one thread that owns the decision module, an inbox and a timer heap. It touches no socket."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import queue
+import sys
+import traceback
+from collections import deque
+from collections.abc import Callable, Iterator
+
+from badgerstile.control import Softswitch
+from badgerstile.interface import (
+    Action,
+    AttemptEnded,
+    CallerLeft,
+    CallOffered,
+    CallStands,
+    Ending,
+    Event,
+    Figure,
+    GiveUp,
+    Health,
+    Probe,
+    Reason,
+    Refuse,
+    Report,
+    Say,
+    Settings,
+    SetUp,
+    WakeAt,
+    Woken,
+)
+from landingdeal.clock import now_ms, seconds_until
+from landingdeal.core.contracts import Contracts
+from landingdeal.core.events import (
+    Arrival,
+    Attempt,
+    CallerReleased,
+    Ended,
+    GroupState,
+    HubDied,
+    HubReleased,
+    HubSide,
+    News,
+    Offer,
+    Probed,
+    Stood,
+    Stop,
+    Why,
+    Withdrawn,
+)
+from landingdeal.core.exchange import Exchange, Standing
+from landingdeal.core.guard import Guard
+from landingdeal.log import say
+
+INBOX_MOST = 4096  # set-ups above this are refused by the front at once
+OPEN_MOST = 4000  # calls waiting for an answer
+STANDING_MOST = 20000
+BATCH_MOST = 256
+LAST_MOMENT_MS = 30.0  # before a call's deadline the core answers by itself if the module has not
+PROBE_WAIT_MS = 250.0  # a probe without an answer by then has failed
+CAUSE_CUT = 41  # the call was cut; 16 is an ordinary end
+WHY = {Reason.LINES_BUSY: Why.BUSY}
+
+Timer = Attempt | Woken | str
+
+
+class Inbox:
+    """The only way into the core. Set-ups are turned away when it is full; other news waits for room."""
+
+    def __init__(self) -> None:
+        self.queue: queue.Queue[Arrival] = queue.Queue(INBOX_MOST * 2)
+        self.own: deque[Arrival] = deque()
+
+    def offer(self, offer: Offer) -> bool:
+        """False: the inbox is full and the caller has to be refused where it stands."""
+        if self.queue.qsize() >= INBOX_MOST:
+            return False
+        self.queue.put(offer)
+        return True
+
+    def tell(self, event: Arrival) -> None:
+        self.queue.put(event)
+
+    def soon(self, event: Arrival) -> None:
+        """For the core's own thread, which must not wait for room: it alone makes room."""
+        self.own.append(event)
+
+    def take(self, until_ms: float) -> Iterator[Arrival]:
+        """Waits until something comes or `until_ms`; then all that is there, up to a batch."""
+        waits = not self.own
+        while self.own:
+            yield self.own.popleft()
+        try:
+            if waits:
+                yield self.queue.get(timeout=seconds_until(until_ms))
+            for _ in range(BATCH_MOST):
+                yield self.queue.get_nowait()
+        except queue.Empty:
+            return
+
+
+class Broker:
+    """Events in, actions out. `released` hands releases of calls that are not known here to the callers."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        inbox: Inbox,
+        hubs: HubSide,
+        released: Callable[[str, int], None],
+        contracts: Contracts | None = None,
+    ) -> None:
+        self.set = settings
+        self.inbox = inbox
+        self.hubs = hubs
+        self.released = released
+        self.contracts = contracts or Contracts(())
+        self.switch = Softswitch(settings, seed)
+        self.guard = Guard(settings)
+        self.kinds = {kind.name: index for index, kind in enumerate(settings.classes)}
+        self.numbers = itertools.count(1)
+        self.open: dict[str, Exchange] = {}
+        self.by_number: dict[int, Exchange] = {}
+        self.standing: dict[str, Standing] = {}
+        self.timers: list[tuple[float, int, Timer]] = []
+        self.order = itertools.count()
+        self.now = now_ms()
+        self.stopping = False
+        self.stop_ms = float("-inf")
+        room = [n for n, f in enumerate(settings.figures) if f is Figure.ROOM_PER_S]
+        self.room_at = room[0] if room else -1
+
+    # --- the loop ---
+
+    def run(self) -> None:
+        while not (self.stopping and not self.open and now_ms() >= self.stop_ms):
+            self.turn()
+
+    def turn(self) -> None:
+        """One batch: all of it happens at one time, as the decision module expects."""
+        due = self.timers[0][0] if self.timers else now_ms() + 1000
+        if self.stopping:
+            due = min(due, max(self.stop_ms, now_ms() + 20))
+        batch = list(self.inbox.take(due))
+        self.now = now_ms()
+        for event in batch:
+            self._safely(event)
+        while self.timers and self.timers[0][0] <= self.now:
+            self._safely(heapq.heappop(self.timers)[2])
+
+    def _safely(self, event: Arrival | Timer) -> None:
+        try:
+            self._one(event)
+        except Exception:  # guards the other calls: one event that goes wrong must not end the program
+            traceback.print_exc(file=sys.stderr)
+            if isinstance(event, Offer):
+                exchange = self.open.get(event.call)
+                if exchange is not None and exchange.attempt is None:
+                    exchange.refuse(self._come_back(), Why.FAILED)
+                    self._forget(exchange)
+                    self._module(CallerLeft(exchange.number))
+
+    def _at(self, when: float, what: Timer) -> None:
+        heapq.heappush(self.timers, (when, next(self.order), what))
+
+    def _one(self, event: Arrival | Timer) -> None:
+        match event:
+            case Offer():
+                self._offered(event)
+            case Withdrawn():
+                self._withdrawn(event)
+            case Stood():
+                self._stood(event)
+            case Ended():
+                self._ended(event)
+            case HubReleased():
+                self._hub_released(event)
+            case CallerReleased(call):
+                self._caller_released(call)
+            case HubDied(hub):
+                self._hub_died(hub)
+            case GroupState(hub, figures):
+                self._module(Report(hub, False, True, 0.0, figures))
+            case Probed(hub, well, latency, figures):
+                self._heard(hub, figures)
+                self._module(Report(hub, True, well, latency, figures))
+            case News(change):
+                self.guard.news(change, self.now)
+                self._module(change)
+                for entry in change.entries:
+                    if entry.health is Health.GONE:
+                        self._hub_died(entry.exchange)
+            case Stop():
+                self.stopping, self.stop_ms = True, self.now + 750.0
+            case Attempt():
+                self._attempt_due(event)
+            case Woken():
+                self._module(event)
+            case str():
+                self._last_moment(event)
+
+    # --- callers ---
+
+    def _offered(self, offer: Offer) -> None:
+        again = self.open.get(offer.call)
+        if again is not None:  # sent again on a new connection, its first one closed: the answer goes there
+            again.offer = offer
+            return
+        exchange = Exchange(offer, next(self.numbers))
+        kind = self.kinds.get(offer.class_name)
+        team_later = self.contracts.admit(offer.team, offer.class_name, offer.call, self.now)
+        if kind is None:
+            exchange.refuse(0.0, Why.FAILED)
+        elif team_later > 0:
+            exchange.refuse(team_later)
+        elif team_later < 0:
+            exchange.refuse(0.0, Why.FORBIDDEN)
+        elif len(self.open) >= OPEN_MOST or self.now >= offer.deadline_ms - LAST_MOMENT_MS:
+            exchange.refuse(self._come_back())
+        if exchange.final or kind is None:
+            self.contracts.ended(offer.call)
+            return
+        self.open[offer.call] = self.by_number[exchange.number] = exchange
+        self._at(offer.deadline_ms - LAST_MOMENT_MS, offer.call)
+        self._module(
+            CallOffered(
+                exchange.number,
+                offer.destination,
+                kind,
+                offer.width,
+                offer.deadline_ms - self.now,
+                advised=offer.advised,
+                in_transit=offer.in_transit,
+                again_after_cut=offer.again_after_cut,
+                called=offer.key,
+            )
+        )
+
+    def _withdrawn(self, event: Withdrawn) -> None:
+        exchange = self.open.get(event.call)
+        if exchange is None:
+            self._caller_released(event.call, crossed=True)
+        elif exchange.offer.caller is event.caller and exchange.withdraw():
+            self._drop(exchange, cancel=True)
+
+    def _caller_released(self, call: str, crossed: bool = False) -> None:
+        standing = self.standing.pop(call, None)
+        if standing is None:
+            return
+        self.contracts.ended(call)
+        self.hubs.release(standing.attempt.hub, call)
+        self._module(self._end_of(standing, Ending.CANCELLED))
+
+    def _last_moment(self, call: str) -> None:
+        """Guards against a call left without its answer, whatever became of the decision on it."""
+        exchange = self.open.get(call)
+        if exchange is None or self.now < exchange.deadline_ms - LAST_MOMENT_MS:
+            return
+        if exchange.refuse(self._come_back(), exchange.why):
+            self._drop(exchange, cancel=True)
+
+    def _drop(self, exchange: Exchange, cancel: bool) -> None:
+        """The call is over for its caller: an attempt still out is called off."""
+        attempt = exchange.attempt
+        self._forget(exchange)
+        self._module(CallerLeft(exchange.number))
+        if attempt is not None and cancel:
+            self.hubs.cancel(attempt)
+            self._module(
+                AttemptEnded(exchange.number, attempt.hub, attempt.number, Ending.CANCELLED, True,
+                             self.now - attempt.sent_ms)
+            )  # fmt: skip
+
+    def _forget(self, exchange: Exchange) -> None:
+        self.open.pop(exchange.offer.call, None)
+        self.by_number.pop(exchange.number, None)
+        exchange.attempt = None
+        if exchange.offer.call not in self.standing:
+            self.contracts.ended(exchange.offer.call)
+
+    def _come_back(self) -> float:
+        return self.set.max_retry_advice_ms if self.set.retry_advice else 0.0
+
+    # --- lab hubs ---
+
+    def _current(self, attempt: Attempt) -> Exchange | None:
+        exchange = self.open.get(attempt.offer.call)
+        return exchange if exchange is not None and exchange.attempt is attempt else None
+
+    def _stood(self, event: Stood) -> None:
+        attempt, call = event.attempt, event.attempt.offer.call
+        exchange = self._current(attempt)
+        if exchange is None:  # it crossed our giving up: what stands there for nobody is released
+            standing = self.standing.get(call)
+            busy = self.open.get(call)
+            if not (standing and standing.attempt.hub == attempt.hub) and not (
+                busy and busy.attempt and busy.attempt.hub == attempt.hub
+            ):
+                self.hubs.release(attempt.hub, call)
+            return
+        if len(self.standing) >= STANDING_MOST:
+            self.standing.pop(next(iter(self.standing)))
+        self.standing[call] = Standing(exchange.offer, exchange.number, attempt)
+        exchange.answer(event.description)
+        self._forget(exchange)
+        self._module(CallStands(exchange.number, attempt.hub, attempt.number, self.now - attempt.sent_ms))
+
+    def _ended(self, event: Ended) -> None:
+        attempt = event.attempt
+        exchange = self._current(attempt)
+        self._heard(attempt.hub, event.report)
+        if exchange is None:
+            return
+        exchange.attempt = None
+        timed_out = event.ending is Ending.TIMED_OUT
+        exchange.why = Why.TIMED_OUT if timed_out else WHY.get(event.reason, Why.TURNED_AWAY)
+        if event.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED):
+            exchange.not_before = self.now + self.set.release_ms
+        self._module(
+            AttemptEnded(exchange.number, attempt.hub, attempt.number, event.ending, False,
+                         self.now - attempt.sent_ms, event.reason, 0.0, event.report)
+        )  # fmt: skip
+
+    def _attempt_due(self, attempt: Attempt) -> None:
+        if self._current(attempt) is not None:
+            self.hubs.cancel(attempt)
+            self._ended(Ended(attempt, Ending.TIMED_OUT))
+
+    def _end_of(self, standing: Standing, ending: Ending, report: tuple[float, ...] = ()) -> Event:
+        attempt = standing.attempt
+        return AttemptEnded(
+            standing.number,
+            attempt.hub,
+            attempt.number,
+            ending,
+            True,
+            self.now - attempt.sent_ms,
+            report=report,
+        )
+
+    def _hub_released(self, event: HubReleased) -> None:
+        standing = self.standing.get(event.call)
+        self._heard(event.hub, event.report)
+        if standing is None:  # from before a restart: its caller is told all the same
+            self.released(event.call, event.cause)
+            return
+        if standing.attempt.hub != event.hub:
+            return  # a late word on an attempt that was given up; the call stands elsewhere
+        del self.standing[event.call]
+        self.contracts.ended(event.call)
+        standing.offer.caller.release(event.cause)
+        ending = Ending.CUT if event.cause == CAUSE_CUT else Ending.ENDED
+        self._module(self._end_of(standing, ending, event.report))
+
+    def _hub_died(self, hub: bytes) -> None:
+        for call, standing in list(self.standing.items()):
+            if standing.attempt.hub == hub:
+                self._hub_released(HubReleased(call, hub, CAUSE_CUT))
+
+    def _heard(self, hub: bytes, figures: tuple[float, ...]) -> None:
+        if 0 <= self.room_at < len(figures):
+            self.guard.room(hub, figures[self.room_at])
+
+    # --- the decision module ---
+
+    def _module(self, event: Event) -> None:
+        for action in self.switch.handle(event, self.now):
+            self._act(action)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case SetUp(number, hub, wait):
+                self._set_up(number, hub, wait)
+            case Refuse(number, come_back):
+                self._refuse(number, come_back, None)
+            case GiveUp(number, come_back):
+                self._refuse(number, come_back, Why.FAILED)
+            case Probe(hub):
+                self.hubs.probe(hub, self.now + PROBE_WAIT_MS)
+            case WakeAt(when, token):
+                self._at(when, Woken(token))
+            case Say(text):
+                say(text)
+            case _:
+                pass  # the platform tells news by itself, and border controllers have no way to talk
+
+    def _refuse(self, number: int, come_back: float, why: Why | None) -> None:
+        exchange = self.by_number.get(number)
+        if exchange is not None:
+            attempt = exchange.attempt
+            exchange.refuse(come_back, why or exchange.why)
+            self._forget(exchange)
+            if attempt is not None:
+                self.hubs.cancel(attempt)
+
+    def _set_up(self, number: int, hub: bytes, wait: float) -> None:
+        exchange = self.by_number.get(number)
+        if exchange is None:
+            return
+        objection = self.guard.objection(exchange, hub, self.now)
+        if objection:
+            say(f"set-up of {exchange.offer.call} held back: {objection}")
+            self._module(AttemptEnded(number, hub, exchange.attempts, Ending.NOT_SENT, False, 0.0))
+            return
+        until = exchange.deadline_ms - LAST_MOMENT_MS
+        if wait > 0:
+            until = min(until, self.now + wait)
+        attempt = Attempt(exchange.offer, exchange.attempts, hub, self.now, until)
+        exchange.attempt, exchange.attempts = attempt, exchange.attempts + 1
+        self.guard.sent(hub, self.now)
+        self._at(until, attempt)
+        self.hubs.set_up(attempt)
--- /dev/null
+++ b/landingdeal/core/events.py
@@ -0,0 +1,150 @@
+"""What the fronts tell the core. Each is decoded once, frozen, and carries absolute deadlines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from badgerstile.interface import Ending, ExchangeList, Reason
+
+
+class Why(Enum):
+    """Why a call is refused; all but FAILED and FORBIDDEN say that trying again is harmless."""
+
+    TURNED_AWAY = "turned away"
+    BUSY = "busy"
+    TIMED_OUT = "timed out"
+    FAILED = "failed"
+    FORBIDDEN = "forbidden"
+
+
+class CallerSide(Protocol):
+    """Server side: where the final answer of one call goes. None of its functions blocks."""
+
+    def answer(self, description: bytes) -> None: ...
+
+    def refuse(self, come_back_ms: float, why: Why) -> None: ...
+
+    def release(self, cause: int) -> None: ...
+
+
+class HubSide(Protocol):
+    """Client side: towards all lab hubs. None of its functions blocks."""
+
+    def set_up(self, attempt: Attempt) -> None: ...
+
+    def cancel(self, attempt: Attempt) -> None: ...
+
+    def release(self, hub: bytes, call: str) -> None: ...
+
+    def probe(self, hub: bytes, deadline_ms: float) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A set-up as the caller sent it. `uri` and `description` are passed on unchanged."""
+
+    call: str
+    uri: str
+    class_name: str
+    destination: int
+    deadline_ms: float
+    description: bytes
+    caller: CallerSide
+    facts: str = ""
+    key: int = 0
+    width: int = 1
+    advised: int = -1
+    in_transit: bool = False
+    again_after_cut: bool = False
+    team: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One set-up towards one lab hub."""
+
+    offer: Offer
+    number: int
+    hub: bytes
+    sent_ms: float
+    deadline_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The caller stopped waiting; no answer is owed."""
+
+    call: str
+    caller: CallerSide
+
+
+@dataclass(frozen=True, slots=True)
+class Stood:
+    attempt: Attempt
+    description: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The attempt ended without standing."""
+
+    attempt: Attempt
+    ending: Ending
+    reason: Reason = Reason.NONE
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HubReleased:
+    """A lab hub released a call; it may be one from before this program started."""
+
+    call: str
+    hub: bytes
+    cause: int
+    report: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CallerReleased:
+    call: str
+
+
+@dataclass(frozen=True, slots=True)
+class HubDied:
+    """The lab hub's connections were reset or its machine is gone: its standing calls are cut."""
+
+    hub: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GroupState:
+    hub: bytes
+    figures: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    hub: bytes
+    well: bool
+    latency_ms: float
+    figures: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """Of the list of lab hubs."""
+
+    change: ExchangeList
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Answer what is open, then end."""
+
+
+Arrival = (
+    Offer | Withdrawn | Stood | Ended | HubReleased | CallerReleased
+    | HubDied | GroupState | Probed | News | Stop
+)  # fmt: skip
--- /dev/null
+++ b/landingdeal/core/exchange.py
@@ -0,0 +1,52 @@
+"""The one object in which server side and client side meet."""
+
+from __future__ import annotations
+
+from landingdeal.core.events import Attempt, Offer, Why
+
+
+class Exchange:
+    """A call: its absolute deadline, its one attempt, its one final answer."""
+
+    __slots__ = ("offer", "number", "deadline_ms", "attempt", "attempts", "not_before", "final", "why")
+
+    def __init__(self, offer: Offer, number: int) -> None:
+        self.offer = offer
+        self.number = number  # what the decision module calls it
+        self.deadline_ms = offer.deadline_ms
+        self.attempt: Attempt | None = None
+        self.attempts = 0
+        self.not_before = float("-inf")
+        self.final = False
+        self.why = Why.TURNED_AWAY  # what its last attempt came to
+
+    def answer(self, description: bytes) -> bool:
+        """The call stands. False if it has had its final answer already."""
+        if self.final:
+            return False
+        self.final = True
+        self.offer.caller.answer(description)
+        return True
+
+    def refuse(self, come_back_ms: float, why: Why = Why.TURNED_AWAY) -> bool:
+        if self.final:
+            return False
+        self.final = True
+        self.offer.caller.refuse(come_back_ms, why)
+        return True
+
+    def withdraw(self) -> bool:
+        """The caller stopped waiting: no answer is owed and none may follow."""
+        if self.final:
+            return False
+        self.final = True
+        return True
+
+
+class Standing:
+    """A call that stands: it belongs to no connection."""
+
+    __slots__ = ("offer", "number", "attempt")
+
+    def __init__(self, offer: Offer, number: int, attempt: Attempt) -> None:
+        self.offer, self.number, self.attempt = offer, number, attempt
--- /dev/null
+++ b/landingdeal/net/bus.py
@@ -0,0 +1,101 @@
+"""Reads the event bus: server-sent events over HTTP, from the last event known on."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable, Iterator
+
+from landingdeal.clock import now_ms, seconds_until
+from landingdeal.log import say
+from landingdeal.net.config import ConfigError, TopologyEvent, topology_event
+from landingdeal.net.link import dial, start_thread
+
+SILENCE_MS = 3000.0  # a comment arrives every second: after so long without one the connection is dead
+DIAL_MS = 1000.0
+PAUSE_MS = 200.0
+LINE_MOST = 4 * 1024 * 1024
+
+
+class BusReader:
+    def __init__(self, where: tuple[str, int], offset: int, told: Callable[[TopologyEvent], None]) -> None:
+        self.where, self.offset, self.told = where, offset, told
+
+    def start(self) -> None:
+        start_thread("bus", self._run)
+
+    def _run(self) -> None:
+        import time
+
+        while True:
+            try:
+                sock = dial(*self.where, now_ms() + DIAL_MS)
+                with sock:
+                    self._read(sock)
+            except (OSError, ValueError, ConfigError) as error:
+                say(f"event bus: {type(error).__name__} {error}")
+            time.sleep(seconds_until(now_ms() + PAUSE_MS))
+
+    def _read(self, sock: socket.socket) -> None:
+        head = (
+            f"GET /bus/read HTTP/1.1\r\nHost: {self.where[0]}:{self.where[1]}\r\n"
+            f"Accept: text/event-stream\r\nLast-Event-ID: {self.offset}\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+        event, data = "", ""
+        for line in self._lines(sock):
+            if line.startswith("id:"):
+                event = line[3:].strip()
+            elif line.startswith("data:"):
+                data += line[5:].strip()
+            elif not line and data:
+                made = topology_event(json.loads(data))
+                number = int(event) if event.isdecimal() else made.offset
+                if number > self.offset:
+                    self.offset = number
+                    self.told(made)
+                event, data = "", ""
+
+    def _lines(self, sock: socket.socket) -> Iterator[str]:
+        """The lines of the body, with chunks undone where the answer comes in chunks."""
+        raw = self._raw(sock)
+        status = next(raw, "")
+        if " 200" not in status:
+            raise ValueError(f"answered {status!r}")
+        chunked = False
+        for line in raw:
+            if not line:
+                break
+            name, _, value = line.partition(":")
+            chunked |= name.lower() == "transfer-encoding" and "chunked" in value.lower()
+        if not chunked:
+            yield from raw
+            return
+        held = ""
+        for size_line in raw:  # a chunk may end inside a line
+            size = int(size_line.split(";")[0] or "0", 16)
+            if size == 0:
+                return
+            chunk = ""
+            while len(chunk) < size + 1:
+                part = next(raw, None)
+                if part is None:
+                    return
+                chunk += part + "\n"
+            held += chunk[:size] if len(chunk) > size else chunk
+            *whole, held = held.split("\n")
+            yield from (line.rstrip("\r") for line in whole)
+
+    def _raw(self, sock: socket.socket) -> Iterator[str]:
+        held = b""
+        while True:
+            sock.settimeout(seconds_until(now_ms() + SILENCE_MS))
+            data = sock.recv(65536)
+            if not data:
+                return
+            held += data
+            if len(held) > LINE_MOST:
+                raise ValueError("a line without an end")
+            *whole, held = held.split(b"\n")
+            for line in whole:
+                yield line.decode("utf-8", "replace").rstrip("\r")
--- /dev/null
+++ b/landingdeal/net/callers.py
@@ -0,0 +1,171 @@
+"""Server side of the platform's front: connections from callers and calls in transit."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections import OrderedDict, deque
+
+from badgerstile.interface import Settings
+from landingdeal.clock import now_ms
+from landingdeal.core.broker import Inbox
+from landingdeal.core.events import CallerReleased, Offer, Why, Withdrawn
+from landingdeal.net.link import Link, serve
+from landingdeal.sip.message import Malformed, Message, request, response
+
+LINKS_MOST = 400  # callers hold at most a third of the descriptors; above this a connection is closed at once
+UNHEARD_MOST = 2000  # releases that no caller was there to hear
+UNHEARD_MS = 15000.0  # so long such a release is kept
+STATUS = {Why.FAILED: 500, Why.FORBIDDEN: 403}  # all others: 503, trying again is harmless
+SETTLE_MS = 1000.0  # a release whose connection closes so soon after it is sent again on another
+
+
+def facts_of(text: str) -> dict[str, int]:
+    """`dest:2;width:1;via:-1` as numbers; raises ValueError on what is none."""
+    found = {}
+    for part in text.split(";"):
+        if part.strip():
+            name, _, value = part.partition(":")
+            found[name.strip()] = int(float(value))
+    return found
+
+
+class Caller:
+    """Where one call's answer goes: the connection it came on, and its set-up to answer to."""
+
+    __slots__ = ("front", "link", "invite")
+
+    def __init__(self, front: Callers, link: Link, invite: Message) -> None:
+        self.front, self.link, self.invite = front, link, invite
+
+    def answer(self, description: bytes) -> None:
+        self.front.closed_set_up(self.link, self.invite.call_id)
+        self.link.send(response(self.invite, 200, body=description))
+
+    def refuse(self, come_back_ms: float, why: Why) -> None:
+        self.front.closed_set_up(self.link, self.invite.call_id)
+        later = (("x-later-ms", str(int(come_back_ms))),) if come_back_ms > 0 else ()
+        self.link.send(response(self.invite, STATUS.get(why, 503), *later))
+
+    def release(self, cause: int) -> None:
+        self.front.release(self.invite.call_id, cause, self.link)
+
+
+class Callers:
+    def __init__(self, settings: Settings, inbox: Inbox, host: str, port: int) -> None:
+        self.inbox = inbox
+        self.via = f"SIP/2.0/TCP {host}:{port}"
+        self.later = str(int(settings.max_retry_advice_ms or 1000.0))
+        self.lock = threading.Lock()
+        self.links: dict[Link, dict[str, Caller]] = {}  # and the set-ups open on each
+        self.unheard: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self.told: deque[tuple[float, str, int, Link]] = deque(maxlen=UNHEARD_MOST)
+        self.ready = threading.Event()
+        self.stopping = False
+        self.listener = serve(host, port, self._accepted)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        with self.lock:
+            if len(self.links) >= LINKS_MOST:
+                sock.close()
+                return
+            link = Link(sock, self._message, self._ended)
+            self.links[link] = {}
+            unheard = [(call, at, cause) for call, (at, cause) in self.unheard.items()]
+            self.unheard.clear()
+        link.start()
+        for call, at, cause in unheard:
+            if now_ms() - at < UNHEARD_MS:
+                self.release(call, cause, link)
+
+    def _ended(self, link: Link, reset: bool) -> None:
+        with self.lock:
+            open_here = self.links.pop(link, {})
+            again = [(c, k) for at, c, k, to in self.told if to is link and now_ms() - at < SETTLE_MS]
+        for call, caller in open_here.items():
+            self.inbox.tell(Withdrawn(call, caller))
+        for call, cause in again:  # guards against a release written into a connection just being closed
+            self.release(call, cause, link)
+
+    def _message(self, link: Link, message: Message | Malformed) -> None:
+        if isinstance(message, Malformed):
+            if not message.message.status and message.message.method != "ACK":
+                link.send(response(message.message, 400))
+            return
+        if message.status:
+            return  # a release that was heard
+        match message.method:
+            case "INVITE":
+                self._invite(link, message)
+            case "CANCEL":
+                with self.lock:
+                    caller = self.links.get(link, {}).pop(message.call_id, None)
+                if caller is not None:
+                    self.inbox.tell(Withdrawn(message.call_id, caller))
+                else:
+                    self.inbox.tell(CallerReleased(message.call_id))
+            case "BYE":
+                link.send(response(message, 200))
+                self.inbox.tell(CallerReleased(message.call_id))
+            case "OPTIONS":
+                well = self.ready.is_set() and not self.stopping
+                link.send(response(message, 200 if well else 503))
+            case "ACK":
+                pass
+            case _:
+                link.send(response(message, 405, ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")))
+
+    def _invite(self, link: Link, message: Message) -> None:
+        came = now_ms()
+        try:
+            facts = facts_of(message.get("x-facts"))
+            patience = float(message.get("x-patience"))
+            number = message.uri.removeprefix("sip:").partition("@")[0]
+            caller = Caller(self, link, message)
+            offer = Offer(
+                call=message.call_id,
+                uri=message.uri,
+                class_name=message.get("subject"),
+                destination=facts["dest"],
+                deadline_ms=came + patience,
+                description=message.body,
+                caller=caller,
+                facts=message.get("x-facts"),
+                key=int(number, 16),
+                width=max(facts.get("width", 1), 1),
+                advised=facts.get("via", -1),
+                in_transit=bool(facts.get("transit", 0)),
+                again_after_cut=bool(facts.get("again", 0)),
+                team=message.get("organization"),
+            )
+            if not 0 < patience < 1e7:
+                raise ValueError("patience")
+        except (ValueError, KeyError, OverflowError):
+            link.send(response(message, 400))
+            return
+        with self.lock:
+            if link in self.links:
+                self.links[link][message.call_id] = caller
+        if not self.inbox.offer(offer):  # guards against a caller left unanswered by a full inbox
+            self.closed_set_up(link, message.call_id)
+            link.send(response(message, 503, ("x-later-ms", self.later)))
+
+    def closed_set_up(self, link: Link, call: str) -> None:
+        with self.lock:
+            self.links.get(link, {}).pop(call, None)
+
+    def release(self, call: str, cause: int, first: Link | None = None) -> None:
+        """Goes out on any connection from callers: its own, else the one heard last, else the next."""
+        with self.lock:
+            if first is None or first not in self.links or not first.alive:
+                alive = sorted((link for link in self.links if link.alive), key=lambda link: link.heard_ms)
+                first = alive[-1] if alive else None
+            if first is None:
+                self.unheard[call] = (now_ms(), cause)
+                while len(self.unheard) > UNHEARD_MOST:
+                    self.unheard.popitem(last=False)
+                return
+            self.told.append((now_ms(), call, cause, first))
+        bye = request("BYE", "sip:caller@net", ("via", self.via), ("call-id", call), ("cseq", "2 BYE"),
+                      ("reason", f"Q.850;cause={cause}"))  # fmt: skip
+        first.send(bye)
--- /dev/null
+++ b/landingdeal/net/hubs.py
@@ -0,0 +1,328 @@
+"""Client side of the platform's front: lab hubs, each with one connection that is kept open."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+from badgerstile.interface import Ending, Figure, Reason, Settings
+from landingdeal.clock import now_ms, seconds_until
+from landingdeal.core.broker import Inbox
+from landingdeal.core.events import Attempt, Ended, GroupState, HubDied, HubReleased, Probed, Stood
+from landingdeal.log import say
+from landingdeal.net.link import Link, dial, start_thread
+from landingdeal.sip.message import Malformed, Message, request, response
+
+REDIAL_MS = 250.0  # after a failed connect
+HUBS_MOST = 64  # lab hubs of which connections are kept
+REPORT_NAMES = {
+    "x0": Figure.FREE_CIRCUITS, "free": Figure.FREE_CIRCUITS,
+    "x1": Figure.GROUP_SIZE, "size": Figure.GROUP_SIZE,
+    "queue": Figure.QUEUE, "depth": Figure.QUEUE, "qps": Figure.ROOM_PER_S, "can_take": Figure.ROOM_PER_S,
+    "util": Figure.BUSY, "load_share": Figure.BUSY, "latency_ms": Figure.WAIT_MS, "mean_ms": Figure.WAIT_MS,
+    "inflight": Figure.IN_WORK, "concurrent": Figure.IN_WORK,
+    "eps": Figure.HOLD_BACK, "hold_back": Figure.HOLD_BACK,
+}  # fmt: skip
+ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CUT, 408: Ending.TIMED_OUT}
+NOTES = {
+    "nc": Reason.NO_CIRCUIT, "tb": Reason.TANDEM, "fovl": Reason.TANDEM_FAR_FULL,
+    "ovl": Reason.PROCESSOR_FULL, "busy": Reason.LINES_BUSY,
+}  # fmt: skip
+
+
+def cause_of(message: Message) -> int:
+    """The cause of `Reason: Q.850;cause=N`; 16, an ordinary end, where none can be read."""
+    _, _, value = message.get("reason").partition("cause=")
+    digits = value.split(";")[0].strip()
+    return int(digits) if digits.isdecimal() and len(digits) < 4 else 16
+
+
+@dataclass(frozen=True, slots=True)
+class Probing:
+    hub: bytes
+    sent_ms: float
+    deadline_ms: float
+
+
+class Hub:
+    """One lab hub: its address, its connection, what is open on it and what waits for one."""
+
+    def __init__(self, name: bytes, host: str, port: int) -> None:
+        self.name, self.host, self.port = name, host, port
+        self.link: Link | None = None
+        self.open: dict[Link, dict[str, Attempt]] = {}
+        self.waiting: list[Attempt] = []
+        self.releases: list[str] = []  # to be told once there is a connection
+        self.probes: dict[str, Probing] = {}
+        self.gone = False
+        self.wake = threading.Condition()
+
+
+class Hubs:
+    def __init__(self, settings: Settings, inbox: Inbox, local: str, dial_ms: float) -> None:
+        self.set, self.inbox, self.dial_ms = settings, inbox, dial_ms
+        self.via = ("via", f"SIP/2.0/TCP {local}")
+        self.lock = threading.Lock()
+        self.hubs: dict[bytes, Hub] = {}
+        self.probe_number = 0
+
+    def known(self, name: bytes, address: str, gone: bool) -> None:
+        """The list names a lab hub, or says that it is gone."""
+        host, _, port = address.rpartition(":")
+        with self.lock:
+            hub = self.hubs.get(name)
+            if hub is None:
+                if gone or len(self.hubs) >= HUBS_MOST:
+                    return
+                hub = self.hubs[name] = Hub(name, host, int(port))
+                start_thread("keeper", lambda: self._keep(hub))
+            elif gone:
+                del self.hubs[name]
+        with hub.wake:
+            if address:
+                hub.host, hub.port = host, int(port)
+            hub.gone = gone
+            links = list(hub.open) if gone else []
+            hub.wake.notify()
+        for link in links:
+            link.close()
+
+    def connected(self) -> bool:
+        with self.lock:
+            return all(hub.link is not None for hub in self.hubs.values())
+
+    # --- connections ---
+
+    def _keep(self, hub: Hub) -> None:
+        """Keeps a connection up: the state of its group comes on it. Ends when the lab hub is gone."""
+        while True:
+            with hub.wake:
+                while hub.link is not None and hub.link.alive and not hub.gone:
+                    hub.wake.wait()
+                if hub.gone:
+                    waiting, hub.waiting = hub.waiting, []
+                    break
+            until = now_ms() + self.dial_ms
+            try:
+                sock = dial(hub.host, hub.port, until)
+            except OSError as error:
+                refused = not isinstance(error, TimeoutError)
+                with hub.wake:
+                    now = now_ms()
+                    lost = [a for a in hub.waiting if refused or now >= a.sent_ms + self.dial_ms - 1]
+                    hub.waiting = [a for a in hub.waiting if a not in lost]
+                for attempt in lost:
+                    self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
+                with hub.wake:
+                    if not hub.gone and not hub.waiting:
+                        hub.wake.wait(seconds_until(now_ms() + REDIAL_MS))
+                continue
+            link = Link(sock, lambda on, m: self._message(hub, on, m), lambda on, r: self._ended(hub, on, r))
+            with hub.wake:
+                old, hub.link = hub.link, link
+                hub.open[link] = {}
+                waiting, hub.waiting = hub.waiting, []
+                releases, hub.releases = hub.releases, []
+            link.start()
+            for call in releases:
+                link.send(self._bye(call))
+            for attempt in waiting:
+                if not self._send(hub, link, attempt):
+                    self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
+            if old is not None and not hub.open.get(old):
+                old.close()
+        for attempt in waiting:
+            self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
+
+    def _ended(self, hub: Hub, link: Link, reset: bool) -> None:
+        with hub.wake:
+            cut = list(hub.open.pop(link, {}).values())
+            current = hub.link is link
+            if current:
+                hub.link = None
+            hub.wake.notify()
+        for attempt in cut:
+            self.inbox.tell(Ended(attempt, Ending.CUT))
+        if current and reset and not hub.gone:
+            self.inbox.tell(HubDied(hub.name))
+
+    def _doubt(self, hub: Hub, attempt: Attempt) -> None:
+        """A connection that has said nothing since the set-up that timed out may be dead: a new one is tried.
+
+        Guards against a machine that vanished or was cut off: its connections stay open and say nothing.
+        """
+        link = hub.link
+        waited = now_ms() - attempt.sent_ms > self.dial_ms  # a caller may call off at once
+        if link is not None and waited and link.heard_ms < attempt.sent_ms:
+            hub.link = None
+            hub.wake.notify()
+
+    # --- what the core asks for ---
+
+    def _hub(self, name: bytes) -> Hub | None:
+        with self.lock:
+            return self.hubs.get(name)
+
+    def set_up(self, attempt: Attempt) -> None:
+        hub = self._hub(attempt.hub)
+        if hub is None:
+            self.inbox.soon(Ended(attempt, Ending.UNREACHABLE))
+            return
+        with hub.wake:
+            link = hub.link
+            if link is None or not link.alive:
+                hub.waiting.append(attempt)
+                hub.wake.notify()
+                return
+        if not self._send(hub, link, attempt):
+            self.inbox.soon(Ended(attempt, Ending.UNREACHABLE))
+
+    def _send(self, hub: Hub, link: Link, attempt: Attempt) -> bool:
+        """False: it did not go out, and nothing else will tell of its end."""
+        left = int(attempt.deadline_ms - now_ms())
+        offer = attempt.offer
+        if left <= 0:
+            return True  # its end is told by the core's own timer
+        with hub.wake:
+            here = hub.open.get(link)
+            if here is not None:
+                here[offer.call] = attempt
+        if here is None:
+            return False
+        sent = link.send(
+            request(
+                "INVITE", offer.uri, self.via, ("call-id", offer.call), ("cseq", "1 INVITE"),
+                ("subject", offer.class_name), ("x-patience", str(left)), ("x-facts", offer.facts),
+                body=offer.description,
+            )
+        )  # fmt: skip
+        if sent:
+            return True
+        with hub.wake:  # where it is missing, the end of the connection has told of it already
+            return here.pop(offer.call, None) is None
+
+    def cancel(self, attempt: Attempt) -> None:
+        hub = self._hub(attempt.hub)
+        if hub is None:
+            return
+        with hub.wake:
+            if attempt in hub.waiting:
+                hub.waiting.remove(attempt)
+                return
+            link = next(
+                (on for on, calls in hub.open.items() if calls.get(attempt.offer.call) is attempt), None
+            )
+            if link is not None:
+                del hub.open[link][attempt.offer.call]
+            self._doubt(hub, attempt)
+        if link is not None:
+            offer = attempt.offer
+            link.send(request("CANCEL", offer.uri, self.via, ("call-id", offer.call), ("cseq", "1 CANCEL")))
+
+    def _bye(self, call: str) -> Message:
+        return request("BYE", "sip:hub@net", self.via, ("call-id", call), ("cseq", "2 BYE"),
+                       ("reason", "Q.850;cause=16"))  # fmt: skip
+
+    def release(self, name: bytes, call: str) -> None:
+        hub = self._hub(name)
+        if hub is None:
+            return
+        with hub.wake:
+            link = hub.link
+            if link is None or not link.alive:
+                if len(hub.releases) < 2000:
+                    hub.releases.append(call)
+                return
+        link.send(self._bye(call))
+
+    def probe(self, name: bytes, deadline_ms: float) -> None:
+        hub = self._hub(name)
+        if hub is None:
+            return
+        with hub.wake:
+            now = now_ms()
+            late = [key for key, probing in hub.probes.items() if now > probing.deadline_ms]
+            lost = [hub.probes.pop(key) for key in late]
+            self.probe_number += 1
+            key = f"{self.probe_number:016x}"
+            hub.probes[key] = Probing(name, now, deadline_ms)
+            link = hub.link
+        for probing in lost:
+            self.inbox.soon(Probed(name, False, probing.deadline_ms - probing.sent_ms))
+        if link is not None:
+            link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", key), ("cseq", "1 OPTIONS")))
+
+    # --- what lab hubs say ---
+
+    def figures(self, message: Message) -> tuple[float, ...]:
+        """`X-State: x0:12;x1:40;queue:3` in the order of the settings; -1 for what it does not name."""
+        text = message.get("x-state")
+        if not text:
+            return ()
+        told: dict[Figure, float] = {}
+        for part in text.split(";"):
+            name, _, value = part.partition(":")
+            try:
+                told[REPORT_NAMES.get(name.strip(), Figure.UNKNOWN)] = float(value)
+            except ValueError:
+                continue
+        return tuple(told.get(figure, -1.0) for figure in self.set.figures)
+
+    def _message(self, hub: Hub, link: Link, message: Message | Malformed) -> None:
+        if isinstance(message, Malformed):
+            say(f"a lab hub sent what is not SIP: {message.why}")
+            if message.message.method not in ("", "ACK"):
+                link.send(response(message.message, 400))
+            return
+        if message.status:
+            method = message.cseq[1]
+            if method == "INVITE" and message.status >= 200:
+                self._final(hub, link, message)
+            elif method == "OPTIONS" and message.status >= 200:
+                self._probed(hub, message)
+            return
+        match message.method:
+            case "BYE":
+                link.send(response(message, 200))
+                with hub.wake:  # an answer and its release come in order, on the set-up's connection
+                    hub.open.get(link, {}).pop(message.call_id, None)
+                figures = self.figures(message)
+                self.inbox.tell(HubReleased(message.call_id, hub.name, cause_of(message), figures))
+            case "NOTIFY":
+                self.inbox.tell(GroupState(hub.name, self.figures(message)))
+            case "OPTIONS":
+                link.send(response(message, 200))
+            case _:
+                pass
+
+    def _final(self, hub: Hub, link: Link, message: Message) -> None:
+        call = message.call_id
+        with hub.wake:
+            attempt = hub.open.get(link, {}).pop(call, None)
+        link.send(request("ACK", attempt.offer.uri if attempt else "sip:hub@net", self.via, ("call-id", call),
+                          ("cseq", f"{message.cseq[0]} ACK")))  # fmt: skip
+        if attempt is None:
+            if message.status < 300:
+                self._unwanted(hub, link, call)
+            return
+        if message.status < 300:
+            self.inbox.tell(Stood(attempt, message.body))
+            return
+        ending = ENDINGS.get(message.status, Ending.ERROR)
+        reason = NOTES.get(message.get("x-note").strip(), Reason.NONE)
+        self.inbox.tell(Ended(attempt, ending, reason, self.figures(message)))
+
+    def _unwanted(self, hub: Hub, link: Link, call: str) -> None:
+        """An answer that crossed our CANCEL: what stands for nobody is released, unless sent there again."""
+        with hub.wake:
+            again = any(call in calls for calls in hub.open.values())
+        if not again and not link.send(self._bye(call)):
+            self.release(hub.name, call)
+
+    def _probed(self, hub: Hub, message: Message) -> None:
+        with hub.wake:
+            probing = hub.probes.pop(message.call_id, None)
+        if probing is not None:
+            now = now_ms()
+            well = message.status < 300 and now <= probing.deadline_ms
+            self.inbox.tell(Probed(hub.name, well, max(now - probing.sent_ms, 0.1), self.figures(message)))
--- /dev/null
+++ b/landingdeal/sip/__init__.py
@@ -0,0 +1,1 @@
+"""SIP: the message type and parser that both fronts share, and the SIP front itself."""
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,140 @@
+"""The platform's front: the program is started and spoken to over sockets."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests.scenario import Platform, play
+
+SCENARIOS = {
+    "a call stands, its hub ends it, its caller is told": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a Subject:voice X-Patience:1
+        hub1 send 180 a
+        hub1 send 200 a
+        caller expect 200 a
+        hub1 expect ACK a
+        hub1 send BYE a Reason:Q.850;cause=16
+        hub1 expect 200 a
+        caller expect BYE a Reason:Q.850;cause=16
+    """,
+    "a full far processor is a refusal at once, with a time to come back": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 send 503 a X-Note:ovl
+        hub1 expect ACK a
+        caller expect 503 a X-Later-Ms:2000
+        hub1 wait 300
+    """,
+    "a caller that gives up takes its attempt with it": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        caller send CANCEL a
+        hub1 expect CANCEL a
+        hub1 send 200 a
+        hub1 expect ACK a
+        hub1 expect BYE a
+        caller wait 200
+    """,
+    "a silent hub: given up, then not sent again within 300 ms, and one final answer": """
+        caller send INVITE a dest=1 patience=1200
+        hub1 expect INVITE a
+        hub1 expect CANCEL a
+        caller expect 503 a X-Later-Ms:2000
+        hub1 wait 320
+        caller wait 20
+    """,
+    "a reset during the set-up: no resend within 300 ms": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 reset
+        hub1 expect end
+        hub1 wait 290
+        hub1 expect INVITE a
+        hub1 send 200 a
+        caller expect 200 a
+    """,
+    "a release from before a restart reaches a caller": """
+        hub2 send BYE old Reason:Q.850;cause=41
+        hub2 expect 200 old
+        front expect BYE old Reason:Q.850;cause=41
+    """,
+    "a standing call belongs to no connection": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a
+        caller close
+        hub1 send BYE a Reason:Q.850;cause=16
+        front expect BYE a Reason:Q.850;cause=16
+    """,
+    "nothing new goes to a hub that drains": """
+        bus tell hub1 draining
+        hub2 wait 100
+        caller send INVITE a dest=1 patience=400
+        hub1 wait 300
+        caller expect 503 a
+    """,
+    "a hub that is gone leaves no call standing": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 send 200 a
+        caller expect 200 a
+        bus tell hub1 removed
+        caller expect BYE a Reason:Q.850;cause=41
+    """,
+    "a framed message that is not SIP gets 400 and its connection lives": """
+        caller raw NONSENSE\\r\\nCall-ID:\\x20x\\r\\nCSeq:\\x201\\x20X\\r\\nContent-Length:\\x200\\r\\n\\r\\n
+        caller expect 400
+        caller send INVITE a dest=x
+        caller expect 400 a
+        caller send OPTIONS b
+        caller expect 200 b
+    """,
+    "broken framing closes that connection alone": """
+        caller send OPTIONS a
+        caller expect 200 a
+        caller raw INVITE\\x20x\\x20SIP/2.0\\r\\nContent-Length:\\x20-4\\r\\n\\r\\n
+        caller expect end
+        front send OPTIONS b
+        front expect 200 b
+    """,
+    "a call in transit goes on to its destination or back": """
+        caller send INVITE a dest=2 via=1 transit=1
+        hub2 expect INVITE a X-Facts:dest:2
+        hub2 send 503 a X-Note:nc
+        hub2 expect ACK a
+        caller expect 503 a
+    """,
+    "an unknown class has failed, and an unknown method is named": """
+        caller send INVITE a class=other
+        caller expect 500 a
+        caller send PUBLISH b
+        caller expect 405 b
+    """,
+    "stopped: what is open is answered, new set-ups too, then it ends well": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        program stop
+        caller2 send INVITE b dest=2
+        hub2 expect INVITE b
+        hub2 send 200 b
+        caller2 expect 200 b
+        hub1 send 200 a
+        caller expect 200 a
+        program ends 0
+    """,
+}
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_platform(name: str, tmp_path: Path) -> None:
+    stage = Platform(tmp_path)
+    try:
+        play(stage, SCENARIOS[name])
+    finally:
+        log = stage.end()
+    assert "Traceback" not in log, log
