Release calls at a lab hub that has said nothing for 7 s; outlast late news of a gone hub

With connection events and releases traced, the machine fell silent at 5.4 s; nothing at all came from it until its connection was reset at 14.43 s, and the breach fell exactly 8 s after the silence began. Two more figures stood out: 3 calls 'that a node released while they stood', which were set up at 14.43-14.57 s on the new connection and thrown away when the list's 'gone' arrived, seconds late. Ruled out: releases lost on the way to callers (no connection from a caller had closed), and calls cut by a reset that was missed (the only resets were logged). At fault: hubs.py had no notion of silence, and broker.py cut all calls on news of a gone hub.

--- a/landingdeal/__main__.py
+++ b/landingdeal/__main__.py
@@ -47,6 +47,7 @@
     signal.signal(signal.SIGINT, stop)
     for event in config.known:
         told(event)
+    hubs.start()
     BusReader(config.bus, config.offset, told).start()
     start_thread("ready", ready)
     core = threading.Thread(target=broker.run, name="core", daemon=True)
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -21,7 +21,6 @@
     Event,
     Figure,
     GiveUp,
-    Health,
     Probe,
     Reason,
     Refuse,
@@ -181,8 +180,8 @@
                 self._hub_released(event)
             case CallerReleased(call):
                 self._caller_released(call)
-            case HubDied(hub):
-                self._hub_died(hub)
+            case HubDied(hub, before):
+                self._hub_died(hub, before)
             case GroupState(hub, figures):
                 self._module(Report(hub, False, True, 0.0, figures))
             case Probed(hub, well, latency, figures):
@@ -191,9 +190,6 @@
             case News(change):
                 self.guard.news(change, self.now)
                 self._module(change)
-                for entry in change.entries:
-                    if entry.health is Health.GONE:
-                        self._hub_died(entry.exchange)
             case Stop():
                 self.stopping, self.stop_ms = True, self.now + 750.0
             case Attempt():
@@ -356,9 +352,16 @@
         ending = Ending.CUT if event.cause == CAUSE_CUT else Ending.ENDED
         self._module(self._end_of(standing, ending, event.report))
 
-    def _hub_died(self, hub: bytes) -> None:
-        for call, standing in list(self.standing.items()):
-            if standing.attempt.hub == hub:
+    def _hub_died(self, hub: bytes, before_ms: float) -> None:
+        cut = [
+            call
+            for call, standing in self.standing.items()
+            if standing.attempt.hub == hub and standing.attempt.sent_ms < before_ms
+        ]
+        if cut:
+            say(f"{hub!r} is gone: {len(cut)} calls that stood there are released")
+        for call in cut:
+            if call in self.standing:
                 self._hub_released(HubReleased(call, hub, CAUSE_CUT))
 
     def _heard(self, hub: bytes, figures: tuple[float, ...]) -> None:
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -113,9 +113,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HubDied:
-    """The lab hub's connections were reset or its machine is gone: its standing calls are cut."""
+    """The lab hub's connection was reset or it is silent: calls set up before that moment are cut."""
 
     hub: bytes
+    before_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from dataclasses import dataclass
 
 from badgerstile.interface import Ending, Figure, Reason, Settings
@@ -13,6 +14,9 @@
 from landingdeal.net.link import Link, dial, start_thread
 from landingdeal.sip.message import Malformed, Message, request, response
 
+QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
+SILENT_MS = 7000.0  # and after so long in vain its calls are over: callers must hear within 8 s of an end
+WATCH_MS = 250.0
 REDIAL_MS = 250.0  # after a failed connect
 HUBS_MOST = 64  # lab hubs of which connections are kept
 REPORT_NAMES = {
@@ -55,6 +59,8 @@
         self.releases: list[str] = []  # to be told once there is a connection
         self.probes: dict[str, Probing] = {}
         self.gone = False
+        self.heard_ms = self.connected_ms = now_ms()
+        self.written_off = False  # its calls have been released for its silence
         self.wake = threading.Condition()
 
 
@@ -67,29 +73,63 @@
         self.probe_number = 0
 
     def known(self, name: bytes, address: str, gone: bool) -> None:
-        """The list names a lab hub, or says that it is gone."""
+        """The list names a lab hub, or says that it is gone.
+
+        A connection that lives outlasts the news that its lab hub is gone: the list is seconds late, and a
+        machine that vanished may be back already, with calls that stand.
+        """
         host, _, port = address.rpartition(":")
         with self.lock:
             hub = self.hubs.get(name)
-            if hub is None:
+            if hub is None or hub.gone and not gone and not hub.open:
                 if gone or len(self.hubs) >= HUBS_MOST:
                     return
                 hub = self.hubs[name] = Hub(name, host, int(port))
                 start_thread("keeper", lambda: self._keep(hub))
-            elif gone:
-                del self.hubs[name]
         with hub.wake:
             if address:
                 hub.host, hub.port = host, int(port)
             hub.gone = gone
-            links = list(hub.open) if gone else []
             hub.wake.notify()
-        for link in links:
-            link.close()
+
+    def start(self) -> None:
+        def watch() -> None:
+            while True:
+                time.sleep(seconds_until(now_ms() + WATCH_MS))
+                self.watch(now_ms())
+
+        start_thread("watch", watch)
+
+    def watch(self, now: float) -> None:
+        """Looks for lab hubs that say nothing.
+
+        Guards against calls that ended where no release could come from: a machine that vanished or was cut
+        off leaves its connections open and silent, and callers must be told within 8 s all the same.
+        """
+        with self.lock:
+            hubs = list(self.hubs.values())
+        for hub in hubs:
+            died = False
+            with hub.wake:
+                silent = now - hub.heard_ms
+                if hub.link is not None and silent > QUIET_MS:
+                    self._doubt(hub)
+                if silent > SILENT_MS and not hub.written_off:
+                    died = hub.written_off = True
+                idle = [link for link, calls in hub.open.items() if link is not hub.link and not calls]
+                spare = idle if hub.link is not None else []
+            for link in spare:
+                link.close()
+            if died:
+                say(f"{hub.name!r} has said nothing for {silent / 1000:.1f} s: its calls are taken as over")
+                self.inbox.tell(HubDied(hub.name, now))
+
+    def _heard(self, hub: Hub) -> None:
+        hub.heard_ms, hub.written_off = now_ms(), False
 
     def connected(self) -> bool:
         with self.lock:
-            return all(hub.link is not None for hub in self.hubs.values())
+            return all(hub.link is not None or hub.gone for hub in self.hubs.values())
 
     # --- connections ---
 
@@ -97,9 +137,10 @@
         """Keeps a connection up: the state of its group comes on it. Ends when the lab hub is gone."""
         while True:
             with hub.wake:
-                while hub.link is not None and hub.link.alive and not hub.gone:
+                while hub.link is not None and hub.link.alive:
                     hub.wake.wait()
                 if hub.gone:
+                    hub.link = None
                     waiting, hub.waiting = hub.waiting, []
                     break
             until = now_ms() + self.dial_ms
@@ -107,6 +148,7 @@
                 sock = dial(hub.host, hub.port, until)
             except OSError as error:
                 refused = not isinstance(error, TimeoutError)
+                say(f"no connection to {hub.name!r}: {error}")
                 with hub.wake:
                     now = now_ms()
                     lost = [a for a in hub.waiting if refused or now >= a.sent_ms + self.dial_ms - 1]
@@ -119,43 +161,46 @@
                 continue
             link = Link(sock, lambda on, m: self._message(hub, on, m), lambda on, r: self._ended(hub, on, r))
             with hub.wake:
-                old, hub.link = hub.link, link
+                hub.link = link
                 hub.open[link] = {}
+                hub.connected_ms = now_ms()
+                self._heard(hub)
                 waiting, hub.waiting = hub.waiting, []
                 releases, hub.releases = hub.releases, []
             link.start()
+            say(f"connected to {hub.name!r}")
             for call in releases:
                 link.send(self._bye(call))
             for attempt in waiting:
                 if not self._send(hub, link, attempt):
                     self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
-            if old is not None and not hub.open.get(old):
-                old.close()
         for attempt in waiting:
             self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
 
     def _ended(self, hub: Hub, link: Link, reset: bool) -> None:
         with hub.wake:
             cut = list(hub.open.pop(link, {}).values())
-            current = hub.link is link
-            if current:
+            before = now_ms()
+            if hub.link is link:
                 hub.link = None
+            elif hub.link is not None:
+                before = hub.connected_ms  # what was set up on the new connection stands
             hub.wake.notify()
+        how = "reset" if reset else "closed"
+        say(f"connection to {hub.name!r} ended ({how}, {len(cut)} set-ups open)")
         for attempt in cut:
             self.inbox.tell(Ended(attempt, Ending.CUT))
-        if current and reset and not hub.gone:
-            self.inbox.tell(HubDied(hub.name))
+        if reset:  # its process has died, and with it all calls that stood there
+            self.inbox.tell(HubDied(hub.name, before))
 
-    def _doubt(self, hub: Hub, attempt: Attempt) -> None:
-        """A connection that has said nothing since the set-up that timed out may be dead: a new one is tried.
+    def _doubt(self, hub: Hub) -> None:
+        """A silent connection may be dead: a new one is tried, and set-ups wait for that.
 
         Guards against a machine that vanished or was cut off: its connections stay open and say nothing.
         """
-        link = hub.link
-        waited = now_ms() - attempt.sent_ms > self.dial_ms  # a caller may call off at once
-        if link is not None and waited and link.heard_ms < attempt.sent_ms:
-            hub.link = None
-            hub.wake.notify()
+        say(f"connection to {hub.name!r} is silent; a new one is tried")
+        hub.link = None
+        hub.wake.notify()
 
     # --- what the core asks for ---
 
@@ -214,7 +259,9 @@
             )
             if link is not None:
                 del hub.open[link][attempt.offer.call]
-            self._doubt(hub, attempt)
+            waited = now_ms() - attempt.sent_ms > self.dial_ms  # a caller may call off at once
+            if hub.link is not None and waited and hub.link.heard_ms < attempt.sent_ms:
+                self._doubt(hub)
         if link is not None:
             offer = attempt.offer
             link.send(request("CANCEL", offer.uri, self.via, ("call-id", offer.call), ("cseq", "1 CANCEL")))
@@ -269,6 +316,7 @@
         return tuple(told.get(figure, -1.0) for figure in self.set.figures)
 
     def _message(self, hub: Hub, link: Link, message: Message | Malformed) -> None:
+        self._heard(hub)
         if isinstance(message, Malformed):
             say(f"a lab hub sent what is not SIP: {message.why}")
             if message.message.method not in ("", "ACK"):
