--- a/landingdeal/__main__.py
+++ b/landingdeal/__main__.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import argparse
 import os
 import signal
 import sys
 import threading
 import time
+from collections.abc import Callable
+from pathlib import Path
 
+from badgerstile.interface import ExchangeList, Health, Listed, ListKind
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.broker import Broker, Inbox
+from landingdeal.core.contracts import Contracts
 from landingdeal.core.events import News, Stop
 from landingdeal.log import say
 from landingdeal.net.bus import BusReader
@@ -17,55 +22,97 @@
 from landingdeal.net.config import Config, ConfigError, TopologyEvent, read_config
 from landingdeal.net.hubs import Hubs
 from landingdeal.net.link import start_thread
+from landingdeal.operator import Operator, read_operator
+from landingdeal.sip.front import SipFront
 
 READY_MS = 1000.0  # a test is passed once all lab hubs are connected, at the latest so long after the start
 FLUSH_MS = 100.0  # for the last answers to leave the writers' queues
+RELEASES_MS = 2000.0  # for the SIP front's last releases to be answered
 
 
-def platform(config: Config) -> None:
+def run(broker: Broker, stopping: Callable[[], None]) -> None:
+    """Until SIGTERM, and then until every call has its answer."""
+
+    def stop(_signal: int, _frame: object) -> None:
+        stopping()
+        start_thread("stop", lambda: broker.inbox.tell(Stop()))
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    core = threading.Thread(target=broker.run, name="core", daemon=True)
+    core.start()
+    while core.is_alive():
+        core.join(1.0)
+
+
+def platform(config: Config, operator: Operator) -> None:
     inbox = Inbox()
     hubs = Hubs(config.settings, inbox, f"{config.host}:{config.port}", config.dial_ms)
     callers = Callers(config.settings, inbox, config.host, config.port)
-    broker = Broker(config.settings, config.seed, inbox, hubs, callers.release)
+    contracts = Contracts(operator.contracts)
+    broker = Broker(config.settings, config.seed, inbox, hubs, callers.release, contracts)
 
     def told(event: TopologyEvent) -> None:
         for name, where, gone in event.addresses:
             hubs.known(name, where, gone)
         inbox.tell(News(event.change))
 
-    def stop(_signal: int, _frame: object) -> None:
-        callers.stopping = True
-        start_thread("stop", lambda: inbox.tell(Stop()))
-
     def ready() -> None:
         until = now_ms() + READY_MS
         while now_ms() < until and not hubs.connected():
-            time.sleep(0.005)
+            time.sleep(seconds_until(now_ms() + 5))
         callers.ready.set()
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
     for event in config.known:
         told(event)
     hubs.start()
     BusReader(config.bus, config.offset, told).start()
     start_thread("ready", ready)
-    core = threading.Thread(target=broker.run, name="core", daemon=True)
-    core.start()
-    while core.is_alive():
-        core.join(1.0)
+    run(broker, callers.stop)
     time.sleep(seconds_until(now_ms() + FLUSH_MS))
     say("stopped")
 
 
+def sip(operator: Operator) -> None:
+    assert operator.sip is not None and operator.settings is not None
+    inbox = Inbox()
+    seed = int.from_bytes(os.urandom(8), "big")
+    front = SipFront(operator.sip, operator.settings, inbox, seed)
+    contracts = Contracts(operator.contracts)
+    broker = Broker(operator.settings, seed, inbox, front, lambda call, cause: None, contracts)
+    listed = tuple(Listed(hub.name, hub.number, Health.READY, 0.0) for hub in operator.sip.hubs)
+    inbox.tell(News(ExchangeList(ListKind.REMEMBERED, listed)))
+    front.start()
+    say(f"SIP front on {operator.sip.host}:{operator.sip.port}, UDP and TCP")
+    run(broker, lambda: None)
+    front.release_all()
+    until = now_ms() + RELEASES_MS
+    while now_ms() < until:
+        time.sleep(seconds_until(now_ms() + 50))
+        if front.quiet():
+            break
+    say("stopped")
+
+
 def main() -> int:
+    parser = argparse.ArgumentParser(
+        prog="landingdeal", description="A border controller between callers and lab hubs."
+    )
+    parser.add_argument(
+        "--operator", default=os.environ.get("LANDINGDEAL_OPERATOR", ""), help="the operator's file"
+    )
     path = os.environ.get("ROUTER_CONFIG", "")
+    where = parser.parse_args().operator
     try:
-        if not path:
-            raise ConfigError("ROUTER_CONFIG names no file")
-        with open(path, encoding="utf-8") as file:
-            config = read_config(file.read())
-        platform(config)
+        operator = read_operator(Path(where).read_text(encoding="utf-8")) if where else Operator()
+        if path:
+            platform(read_config(Path(path).read_text(encoding="utf-8")), operator)
+        elif operator.sip is not None:
+            sip(operator)
+        else:
+            raise ConfigError(
+                "neither ROUTER_CONFIG nor an operator's file with the SIP front enabled is named"
+            )
     except (ConfigError, OSError, UnicodeDecodeError) as error:
         print(f"landingdeal: {error}", file=sys.stderr)
         return 2
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -9,6 +9,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from badgerstile.control import Softswitch
 from badgerstile.interface import (
@@ -59,6 +60,7 @@
 STANDING_MOST = 20000
 BATCH_MOST = 256
 LAST_MOMENT_MS = 30.0  # before a call's deadline the core answers by itself if the module has not
+RELEASE_MARGIN_MS = 10.0  # a release counts from where it arrives, which is later than where it was decided
 PROBE_WAIT_MS = 250.0  # a probe without an answer by then has failed
 CAUSE_CUT = 41  # the call was cut; 16 is an ordinary end
 WHY = {Reason.LINES_BUSY: Why.BUSY}
@@ -113,6 +115,7 @@
         released: Callable[[str, int], None],
         contracts: Contracts | None = None,
     ) -> None:
+        settings = replace(settings, release_ms=settings.release_ms + RELEASE_MARGIN_MS)
         self.set = settings
         self.inbox = inbox
         self.hubs = hubs
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -64,6 +64,10 @@
         self.stopping = False
         self.listener = serve(host, port, self._accepted)
 
+    def stop(self) -> None:
+        """From now on a test fails, so that no new caller is sent here; whoever comes is still answered."""
+        self.stopping = True
+
     def _accepted(self, sock: socket.socket) -> None:
         with self.lock:
             if len(self.links) >= LINKS_MOST:
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -6,12 +6,13 @@
 import time
 from dataclasses import dataclass
 
-from badgerstile.interface import Ending, Figure, Reason, Settings
+from badgerstile.interface import Ending, Settings
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, Ended, GroupState, HubDied, HubReleased, Probed, Stood
 from landingdeal.log import say
 from landingdeal.net.link import Link, dial, start_thread
+from landingdeal.sip.headers import cause_of, figures_of, reason_of
 from landingdeal.sip.message import Malformed, Message, request, response
 
 QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
@@ -19,26 +20,7 @@
 WATCH_MS = 250.0
 REDIAL_MS = 250.0  # after a failed connect
 HUBS_MOST = 64  # lab hubs of which connections are kept
-REPORT_NAMES = {
-    "x0": Figure.FREE_CIRCUITS, "free": Figure.FREE_CIRCUITS,
-    "x1": Figure.GROUP_SIZE, "size": Figure.GROUP_SIZE,
-    "queue": Figure.QUEUE, "depth": Figure.QUEUE, "qps": Figure.ROOM_PER_S, "can_take": Figure.ROOM_PER_S,
-    "util": Figure.BUSY, "load_share": Figure.BUSY, "latency_ms": Figure.WAIT_MS, "mean_ms": Figure.WAIT_MS,
-    "inflight": Figure.IN_WORK, "concurrent": Figure.IN_WORK,
-    "eps": Figure.HOLD_BACK, "hold_back": Figure.HOLD_BACK,
-}  # fmt: skip
 ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CUT, 408: Ending.TIMED_OUT}
-NOTES = {
-    "nc": Reason.NO_CIRCUIT, "tb": Reason.TANDEM, "fovl": Reason.TANDEM_FAR_FULL,
-    "ovl": Reason.PROCESSOR_FULL, "busy": Reason.LINES_BUSY,
-}  # fmt: skip
-
-
-def cause_of(message: Message) -> int:
-    """The cause of `Reason: Q.850;cause=N`; 16, an ordinary end, where none can be read."""
-    _, _, value = message.get("reason").partition("cause=")
-    digits = value.split(";")[0].strip()
-    return int(digits) if digits.isdecimal() and len(digits) < 4 else 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -301,20 +283,6 @@
 
     # --- what lab hubs say ---
 
-    def figures(self, message: Message) -> tuple[float, ...]:
-        """`X-State: x0:12;x1:40;queue:3` in the order of the settings; -1 for what it does not name."""
-        text = message.get("x-state")
-        if not text:
-            return ()
-        told: dict[Figure, float] = {}
-        for part in text.split(";"):
-            name, _, value = part.partition(":")
-            try:
-                told[REPORT_NAMES.get(name.strip(), Figure.UNKNOWN)] = float(value)
-            except ValueError:
-                continue
-        return tuple(told.get(figure, -1.0) for figure in self.set.figures)
-
     def _message(self, hub: Hub, link: Link, message: Message | Malformed) -> None:
         self._heard(hub)
         if isinstance(message, Malformed):
@@ -334,10 +302,10 @@
                 link.send(response(message, 200))
                 with hub.wake:  # an answer and its release come in order, on the set-up's connection
                     hub.open.get(link, {}).pop(message.call_id, None)
-                figures = self.figures(message)
+                figures = figures_of(message, self.set)
                 self.inbox.tell(HubReleased(message.call_id, hub.name, cause_of(message), figures))
             case "NOTIFY":
-                self.inbox.tell(GroupState(hub.name, self.figures(message)))
+                self.inbox.tell(GroupState(hub.name, figures_of(message, self.set)))
             case "OPTIONS":
                 link.send(response(message, 200))
             case _:
@@ -357,8 +325,8 @@
             self.inbox.tell(Stood(attempt, message.body))
             return
         ending = ENDINGS.get(message.status, Ending.ERROR)
-        reason = NOTES.get(message.get("x-note").strip(), Reason.NONE)
-        self.inbox.tell(Ended(attempt, ending, reason, self.figures(message)))
+        reason = reason_of(message)
+        self.inbox.tell(Ended(attempt, ending, reason, figures_of(message, self.set)))
 
     def _unwanted(self, hub: Hub, link: Link, call: str) -> None:
         """An answer that crossed our CANCEL: what stands for nobody is released, unless sent there again."""
@@ -373,4 +341,6 @@
         if probing is not None:
             now = now_ms()
             well = message.status < 300 and now <= probing.deadline_ms
-            self.inbox.tell(Probed(hub.name, well, max(now - probing.sent_ms, 0.1), self.figures(message)))
+            self.inbox.tell(
+                Probed(hub.name, well, max(now - probing.sent_ms, 0.1), figures_of(message, self.set))
+            )
--- /dev/null
+++ b/landingdeal/sip/front.py
@@ -0,0 +1,856 @@
+"""The SIP front: callers and lab hubs over UDP and TCP, bound by the same core as the platform's front.
+
+A call has a leg towards its caller and, once it stands, one towards its lab hub; this is a back-to-back user
+agent. Everything here runs in the front's one thread; the core only posts work to it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from badgerstile.interface import Ending, Figure, Reason, Settings
+from landingdeal.core.broker import CAUSE_CUT, Inbox
+from landingdeal.core.events import (
+    Attempt,
+    CallerReleased,
+    Ended,
+    GroupState,
+    HubReleased,
+    Offer,
+    Probed,
+    Stood,
+    Why,
+    Withdrawn,
+)
+from landingdeal.log import say
+from landingdeal.sip.address import MAGIC, BadAddress, Via, parse_name_addr, parse_uri, parse_via, split_top
+from landingdeal.sip.dialog import Dialog
+from landingdeal.sip.headers import cause_of, figures_of, reason_of
+from landingdeal.sip.loop import Loop, Work
+from landingdeal.sip.message import Malformed, Message, request, response
+from landingdeal.sip.transaction import (
+    ClientTransaction,
+    Flow,
+    ServerTransaction,
+    State,
+    Timing,
+    Transaction,
+    within,
+)
+from landingdeal.sip.transport import Received, TcpFlow, Transports
+
+TRANSACTIONS_MOST = 8192
+CALLS_MOST = 4000
+ALLOW = ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
+STATUS = {Why.BUSY: 486, Why.TIMED_OUT: 408, Why.FAILED: 500, Why.FORBIDDEN: 403}
+ENDINGS = {
+    408: Ending.TIMED_OUT, 480: Ending.TURNED_BACK, 487: Ending.CANCELLED, 503: Ending.TURNED_BACK,
+    504: Ending.CUT,
+}  # fmt: skip
+BUSY = (486, 600)
+
+OnResponse = Callable[[Message], None]
+
+
+@dataclass(frozen=True, slots=True)
+class HubPlace:
+    """A lab hub of the operator's file; `circuits` 0 where they are not counted here."""
+
+    name: bytes
+    number: int
+    transport: str
+    host: str
+    port: int
+    circuits: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SipConfig:
+    host: str
+    port: int
+    timing: Timing
+    hubs: tuple[HubPlace, ...]
+    routes: tuple[tuple[str, int], ...]  # prefix of the number called, number of the lab hub
+    default_class: str
+
+
+class SipCaller:
+    """What the core holds of a caller: it posts, and never waits."""
+
+    __slots__ = ("front", "call")
+
+    def __init__(self, front: SipFront, call: Call) -> None:
+        self.front, self.call = front, call
+
+    def answer(self, description: bytes) -> None:
+        self.front.loop.post(lambda: self.front.answer_call(self.call, description))
+
+    def refuse(self, come_back_ms: float, why: Why) -> None:
+        self.front.loop.post(lambda: self.front.refuse_call(self.call, come_back_ms, why))
+
+    def release(self, cause: int) -> None:
+        self.front.loop.post(lambda: self.front.release_caller(self.call, cause))
+
+
+class Side:
+    """One standing leg of a call."""
+
+    def __init__(self, call: Call, dialog: Dialog, caller: bool) -> None:
+        self.call, self.dialog, self.caller = call, dialog, caller
+        self.incoming: ServerTransaction | None = None  # a re-INVITE from here that is under way
+        self.unacked = -1  # number of the INVITE whose 2xx from us has no ACK yet
+        self.bye_cause = -1  # a release that has to wait for that ACK
+        self.ack: Message | None = None  # the last that we sent here
+        self.checking = False
+
+    @property
+    def other(self) -> Side | None:
+        return self.call.hub_side if self.caller else self.call.caller_side
+
+
+class Leg:
+    """An INVITE of ours towards a lab hub."""
+
+    def __init__(self, call: Call, attempt: Attempt, hub: HubPlace) -> None:
+        self.call, self.attempt, self.hub = call, attempt, hub
+        self.transaction: ClientTransaction | None = None
+        self.provisional = self.cancelled = self.counted = False
+        self.sides: dict[str, Side] = {}  # by the hub's tag
+
+
+class Call:
+    def __init__(self, key: str, server: ServerTransaction, tag: str) -> None:
+        self.key, self.server, self.tag = key, server, tag
+        self.caller: SipCaller
+        self.legs: dict[int, Leg] = {}
+        self.caller_side: Side | None = None
+        self.hub_side: Side | None = None
+        self.answer_kind = "application/sdp"
+
+    @property
+    def merged_key(self) -> tuple[str, str, int]:
+        invite = self.server.request
+        return invite.call_id, parse_name_addr(invite.get("from")).tag, invite.cseq[0]
+
+
+def content(message: Message) -> list[tuple[str, str]]:
+    """The type of a body that is passed on unchanged."""
+    return [("content-type", message.get("content-type", "application/sdp"))] if message.body else []
+
+
+class ReplyFlow:
+    """Where responses go: the request's connection, else a new one to the address in its Via (18.2.2)."""
+
+    def __init__(self, front: SipFront, received: Received, via: Via) -> None:
+        self.front, self.first = front, received.flow
+        self.host = received.host
+        self.port = received.port if "rport" in via.params else via.port
+        self.reliable = received.flow.reliable
+        self.name = received.flow.name
+        self.spare: Flow | None = None
+
+    def send(self, message: Message) -> None:
+        if not self.reliable:
+            self.front.transports.to("UDP", self.host, self.port).send(message)
+        elif getattr(self.first, "alive", True):
+            self.first.send(message)
+        else:
+            self.spare = self.front.transports.to("TCP", self.host, self.port)
+            self.spare.send(message)
+
+
+class SipFront:
+    def __init__(self, config: SipConfig, settings: Settings, inbox: Inbox, seed: int) -> None:
+        self.config, self.set, self.inbox = config, settings, inbox
+        self.timing = config.timing
+        self.random = random.Random(seed)
+        self.loop = Loop()
+        self.transports = Transports(config.host, config.port, self.received, self.flow_ended)
+        self.hubs = {hub.name: hub for hub in config.hubs}
+        self.used = {hub.name: 0 for hub in config.hubs}
+        self.servers: dict[str, ServerTransaction] = {}
+        self.clients: dict[str, ClientTransaction] = {}
+        self.calls: dict[str, Call] = {}
+        self.merged: dict[tuple[str, str, int], str] = {}
+        self.early: dict[str, Call] = {}  # by the branch key of the INVITE
+        self.dialogs: dict[tuple[str, str, str], Side] = {}
+        self.strays = 0
+
+    def start(self) -> None:
+        self.loop.start()
+        self.transports.start()
+        for hub in self.config.hubs:
+            self._count(hub, 0)
+
+    # --- what transactions need (Layer) ---
+
+    def at(self, deadline_ms: float, work: Work) -> None:
+        self.loop.at(deadline_ms, work)
+
+    def now(self) -> float:
+        return self.loop.now()
+
+    def over(self, transaction: Transaction) -> None:
+        if isinstance(transaction, ServerTransaction):
+            self.servers.pop(transaction.key, None)
+            call = self.early.pop(transaction.key, None)
+            if call is not None and call.caller_side is None:
+                self._forget(call)
+        else:
+            self.clients.pop(transaction.key, None)
+
+    # --- from other threads ---
+
+    def received(self, received: Received) -> None:
+        if self.loop.room():
+            self.loop.post(lambda: self._received(received))
+        elif isinstance(received.flow, TcpFlow) and received.flow.link is not None:
+            received.flow.link.close()  # guards the memory: a stream can't lose one message
+
+    def flow_ended(self, flow: TcpFlow) -> None:
+        self.loop.post(lambda: self._flow_ended(flow))
+
+    def set_up(self, attempt: Attempt) -> None:
+        self.loop.post(lambda: self._set_up(attempt))
+
+    def cancel(self, attempt: Attempt) -> None:
+        self.loop.post(lambda: self._cancel(attempt))
+
+    def release(self, hub: bytes, call: str) -> None:
+        self.loop.post(lambda: self._release_hub(hub, call))
+
+    def probe(self, hub: bytes, deadline_ms: float) -> None:
+        self.loop.post(lambda: self._probe(hub, deadline_ms))
+
+    def release_all(self) -> None:
+        """At the end of the program: no dialog outlives it, so no call may."""
+        self.loop.post(self._release_all)
+
+    def quiet(self) -> bool:
+        """Nothing is awaited from a peer any more."""
+        busy = (State.CALLING, State.PROCEEDING)
+        return not any(t.state in busy for t in list(self.clients.values())) and not any(
+            side.unacked >= 0 for side in list(self.dialogs.values())
+        )
+
+    # --- messages ---
+
+    def _tag(self) -> str:
+        return f"{self.random.getrandbits(48):012x}"
+
+    def _via(self, flow: Flow) -> str:
+        kind = "TCP" if flow.reliable else "UDP"
+        branch = f"{MAGIC}{self.random.getrandbits(64):016x}"
+        return f"SIP/2.0/{kind} {self.config.host}:{self.config.port};branch={branch};rport"
+
+    def _contact(self, flow: Flow) -> tuple[str, str]:
+        suffix = ";transport=tcp" if flow.reliable else ""
+        return "contact", f"<sip:landingdeal@{self.config.host}:{self.config.port}{suffix}>"
+
+    def _reply(
+        self, to: Message, status: int, *more: tuple[str, str], tag: str = "", body: bytes = b""
+    ) -> Message:
+        """A response; each but 100 gets a To tag (8.2.6.2)."""
+        made = response(to, status, *more, body=body)
+        if status == 100:
+            return made
+        headers = tuple(
+            (k, f"{v};tag={tag or self._tag()}" if k == "to" and ";tag=" not in v.lower() else v)
+            for k, v in made.headers
+        )
+        return replace(made, headers=headers)
+
+    def _received(self, received: Received) -> None:
+        message = received.message
+        if isinstance(message, Malformed):
+            self._malformed(received, message)
+        elif message.status:
+            self._response(message)
+        else:
+            self._request(received, message)
+
+    def _malformed(self, received: Received, malformed: Malformed) -> None:
+        message = malformed.message
+        if not message.status and message.method not in ("", "ACK"):
+            status = 505 if malformed.why == "version" else 400
+            reply = self._reply(message, status)
+            received.flow.send(replace(reply, reason=f"{reply.reason} ({malformed.why})"))
+
+    def _response(self, message: Message) -> None:
+        try:
+            branch = parse_via(split_top(message.get("via"), ",")[0]).branch
+        except BadAddress:
+            branch = ""
+        transaction = self.clients.get(f"{branch}|{message.cseq[1]}")
+        if transaction is None:
+            self.strays += 1  # late, or not ours
+        else:
+            transaction.received(message)
+
+    def _request(self, received: Received, message: Message) -> None:
+        try:
+            first, *others = split_top(message.get("via"), ",")
+            via = parse_via(first)
+            sender, target = parse_name_addr(message.get("from")), parse_name_addr(message.get("to"))
+            if not sender.uri or not target.uri or not sender.tag and via.branch.startswith(MAGIC):
+                raise BadAddress("From or To")
+            hops = message.get("max-forwards", "70").strip()
+            if not (hops.isascii() and hops.isdecimal() and int(hops) <= 255):
+                raise BadAddress("Max-Forwards")
+        except BadAddress as error:
+            self._malformed(received, Malformed(str(error), message))
+            return
+        marked = first.strip()
+        if via.host != received.host:
+            marked += f";received={received.host}"
+        if "rport" in via.params and not via.params["rport"]:
+            marked = marked.replace(";rport", f";rport={received.port}", 1)
+        top = ", ".join([marked, *(other.strip() for other in others)])
+        index = next(n for n, (k, _) in enumerate(message.headers) if k == "via")
+        headers = (*message.headers[:index], ("via", top), *message.headers[index + 1 :])
+        message = replace(message, headers=headers)
+        key = self._key(message, via, sender.tag)
+        flow = ReplyFlow(self, received, via)
+        if message.method == "ACK":
+            self._ack(message, key)
+            return
+        known = self.servers.get(f"{key}|{message.method}")
+        if known is not None:
+            known.retransmitted()
+            return
+        if len(self.servers) >= TRANSACTIONS_MOST:
+            flow.send(self._reply(message, 503, ("retry-after", "2")))
+            return
+        transaction = ServerTransaction(self, flow, message, f"{key}|{message.method}")
+        self.servers[transaction.key] = transaction
+        self._new(transaction, key, target.tag, received.flow)
+
+    @staticmethod
+    def _key(message: Message, via: Via, from_tag: str) -> str:
+        """What makes requests one transaction (17.2.3); without the cookie, what RFC 2543 went by."""
+        if via.branch.startswith(MAGIC):
+            return f"{via.branch}|{via.host}:{via.port}"
+        return f"{message.call_id}|{from_tag}|{message.cseq[0]}|{via.host}:{via.port}|{message.uri}"
+
+    def _new(self, transaction: ServerTransaction, key: str, to_tag: str, flow: Flow) -> None:
+        message = transaction.request
+        required = message.get("require")
+        if message.method not in ("INVITE", "CANCEL", "BYE", "OPTIONS"):
+            transaction.respond(self._reply(message, 405, ALLOW))
+        elif required and message.method != "CANCEL":
+            transaction.respond(self._reply(message, 420, ("unsupported", required)))
+        elif message.method == "CANCEL":
+            self._cancelled(transaction, key)
+        elif to_tag:
+            self._within(transaction, to_tag, flow)
+        elif message.method == "OPTIONS":
+            transaction.respond(self._reply(message, 200, ALLOW, ("accept", "application/sdp")))
+        elif message.method == "BYE":
+            transaction.respond(self._reply(message, 481))
+        else:
+            self._invite(transaction, flow)
+
+    # --- a call comes in ---
+
+    def _invite(self, transaction: ServerTransaction, flow: Flow) -> None:
+        message = transaction.request
+        try:
+            user = parse_uri(message.uri).user
+        except BadAddress:
+            status = 400 if message.uri.lower().startswith("sip:") else 416
+            transaction.respond(self._reply(message, status))
+            return
+        call = Call(self._tag() + self._tag(), transaction, self._tag())
+        if call.merged_key in self.merged:  # the same call by another way (8.2.2.2)
+            transaction.respond(self._reply(message, 482))
+            return
+        number = next((n for prefix, n in self.config.routes if user.startswith(prefix)), None)
+        if number is None:
+            transaction.respond(self._reply(message, 404))
+            return
+        if message.get("max-forwards", "70").strip() == "0":
+            transaction.respond(self._reply(message, 483))
+            return
+        try:
+            patience = self._patience(message)
+        except ValueError:
+            transaction.respond(self._reply(message, 400))
+            return
+        transaction.respond(response(message, 100))
+        call.caller = SipCaller(self, call)
+        offer = Offer(
+            call=call.key,
+            uri=message.uri,
+            class_name=message.get("subject") or self.config.default_class,
+            destination=number,
+            deadline_ms=self.now() + patience,
+            description=message.body,
+            caller=call.caller,
+            key=int.from_bytes(hashlib.blake2b(user.encode(), digest_size=8).digest(), "big"),
+            team=message.get("organization"),
+        )
+        if len(self.calls) >= CALLS_MOST or not self.inbox.offer(offer):
+            transaction.respond(self._reply(message, 503, ("retry-after", "2"), tag=call.tag))
+            return
+        self.calls[call.key] = self.early[transaction.key] = call
+        self.merged[call.merged_key] = call.key
+
+    def _patience(self, message: Message) -> float:
+        """How long the caller waits: X-Patience in ms, or Expires in s, within what the class allows."""
+        named = [c for c in self.set.classes if c.name == message.get("subject")] or list(self.set.classes)
+        most = named[0].deadline_ms
+        given = message.get("x-patience") or None
+        seconds = message.get("expires") or None
+        wanted = float(given) if given else float(seconds) * 1000 if seconds else most
+        if not 0 < wanted < 1e12:
+            raise ValueError("patience")
+        return min(wanted, most)
+
+    def _cancelled(self, transaction: ServerTransaction, key: str) -> None:
+        invite = self.servers.get(f"{key}|INVITE")
+        if invite is None:
+            transaction.respond(self._reply(transaction.request, 481))
+            return
+        call = self.early.get(invite.key)
+        transaction.respond(self._reply(transaction.request, 200, tag=call.tag if call else ""))
+        if call is not None and not invite.answered:
+            self._withdraw(call)
+        elif (
+            call is None and not invite.answered
+        ):  # a re-INVITE: its final answer follows from the other side
+            self._cancel_reinvite(invite)
+
+    def _withdraw(self, call: Call) -> None:
+        call.server.respond(self._reply(call.server.request, 487, tag=call.tag))
+        self.inbox.tell(Withdrawn(call.key, call.caller))
+
+    def _ack(self, message: Message, key: str) -> None:
+        invite = self.servers.get(f"{key}|INVITE")
+        if invite is not None and invite.state in (State.COMPLETED, State.CONFIRMED):
+            invite.acknowledged()
+            return
+        side = self._side(message)
+        if side is None or side.unacked != message.cseq[0]:
+            return  # a stray ACK gets no answer
+        side.unacked = -1
+        other = side.other
+        if other is not None and other.ack is None:  # the offer was in the 2xx, the answer is in this ACK
+            self._acknowledge(other, message)
+        if side.bye_cause >= 0:
+            self._bye(side, side.bye_cause)
+
+    # --- what the core says of a caller ---
+
+    def answer_call(self, call: Call, description: bytes) -> None:
+        invite, hub_side = call.server.request, call.hub_side
+        if call.server.answered or call.key not in self.calls:
+            self.inbox.tell(CallerReleased(call.key))  # it crossed a CANCEL: what stands is released
+            return
+        kind = ("content-type", call.answer_kind)
+        flow = call.server.flow
+        final = self._reply(
+            invite, 200, self._contact(flow), ALLOW, *([kind] if description else []),
+            *[("record-route", v) for v in invite.all("record-route")], tag=call.tag, body=description,
+        )  # fmt: skip
+        first = flow.first if isinstance(flow, ReplyFlow) else flow
+        side = call.caller_side = Side(call, Dialog(invite, final, first, client=False), caller=True)
+        self.dialogs[side.dialog.key] = side
+        self._stand(side, call.server, final)
+        if hub_side is None or hub_side.dialog.over:  # its lab hub has released it already
+            self._bye(side, CAUSE_CUT)
+
+    def _stand(self, side: Side, transaction: ServerTransaction, final: Message) -> None:
+        """Sends a 2xx, and again until its ACK comes (13.3.1.4), on any transport."""
+        number = transaction.request.cseq[0]
+        side.unacked = number
+        transaction.respond(final)
+
+        def again(span: float) -> None:
+            def due() -> None:
+                if side.unacked == number and not side.dialog.over:
+                    transaction.flow.send(final)
+                    again(min(2 * span, self.timing.t2))
+
+            self.at(self.now() + span, due)
+
+        def lost() -> None:
+            if side.unacked == number and not side.dialog.over:
+                side.unacked = -1
+                say(f"call {side.call.key}: a 2xx was never acknowledged")
+                self._drop_call(side.call, CAUSE_CUT, None)
+
+        again(self.timing.t1)
+        self.at(self.now() + self.timing.b, lost)
+
+    def refuse_call(self, call: Call, come_back_ms: float, why: Why) -> None:
+        later = []
+        if come_back_ms > 0:
+            later = [
+                ("retry-after", str(math.ceil(come_back_ms / 1000))),
+                ("x-later-ms", str(int(come_back_ms))),
+            ]
+        call.server.respond(self._reply(call.server.request, STATUS.get(why, 503), *later, tag=call.tag))
+
+    def release_caller(self, call: Call, cause: int) -> None:
+        if call.caller_side is not None:
+            self._bye(call.caller_side, cause)
+
+    # --- attempts ---
+
+    def _set_up(self, attempt: Attempt) -> None:
+        hub, call = self.hubs.get(attempt.hub), self.calls.get(attempt.offer.call)
+        if hub is None or call is None:
+            self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
+            return
+        left = attempt.deadline_ms - self.now()
+        if left <= 0:
+            return  # the core's own timer tells of its end
+        leg = call.legs[attempt.number] = Leg(call, attempt, hub)
+        flow = self.transports.to(hub.transport, hub.host, hub.port, attempt.deadline_ms)
+        invite = call.server.request
+        user = parse_uri(invite.uri).user
+        hops = max(int(invite.get("max-forwards", "70")) - 1, 0)
+        made = request(
+            "INVITE", f"sip:{user}@{hub.host}:{hub.port}", ("via", self._via(flow)),
+            ("max-forwards", str(hops)),
+            ("from", f"<sip:landingdeal@{self.config.host}:{self.config.port}>;tag={self._tag()}"),
+            ("to", f"<sip:{user}@{hub.host}:{hub.port}>"), ("call-id", f"{call.key}-{attempt.number}"),
+            ("cseq", "1 INVITE"), self._contact(flow), ALLOW, ("subject", attempt.offer.class_name),
+            ("x-patience", str(int(left))), ("expires", str(math.ceil(left / 1000))), *content(invite), body=invite.body,
+        )  # fmt: skip
+        leg.transaction = self._client(flow, made, lambda message: self._answered(leg, message))
+        leg.counted = True
+        self._count(hub, 1)
+
+    def _client(self, flow: Flow, made: Message, on_response: OnResponse) -> ClientTransaction:
+        branch = parse_via(made.get("via")).branch
+        transaction = ClientTransaction(self, flow, made, f"{branch}|{made.method}", on_response)
+        self.clients[transaction.key] = transaction
+        transaction.start()
+        if isinstance(flow, TcpFlow) and not flow.alive:
+            self.loop.post(transaction.failed)
+        return transaction
+
+    def _answered(self, leg: Leg, message: Message) -> None:
+        call = leg.call
+        if message.status < 200:
+            if not leg.provisional and leg.cancelled:
+                self._send_cancel(leg)
+            leg.provisional = True
+            if message.status > 100 and not leg.cancelled and not call.server.answered:
+                status = message.status if message.status in (180, 181, 182, 183) else 183
+                call.server.respond(self._reply(call.server.request, status, tag=call.tag))
+            return
+        if message.status < 300:
+            self._stands(leg, message)
+            return
+        self._end_leg(leg)
+        if leg.cancelled:
+            return
+        transaction = leg.transaction
+        ending, reason = ENDINGS.get(message.status, Ending.ERROR), reason_of(message)
+        if not message.get("via") and message.status == 503:  # the transport failed
+            up = transaction is None or getattr(transaction.flow, "was_up", True)
+            ending = Ending.CUT if up else Ending.UNREACHABLE
+        elif message.status == 503 and reason is Reason.NONE:
+            reason = Reason.PROCESSOR_FULL
+        elif message.status in BUSY:
+            reason = Reason.LINES_BUSY
+        self.inbox.tell(Ended(leg.attempt, ending, reason, figures_of(message, self.set)))
+
+    def _stands(self, leg: Leg, message: Message) -> None:
+        transaction, call = leg.transaction, leg.call
+        assert transaction is not None
+        try:
+            tag = parse_name_addr(message.get("to")).tag
+        except BadAddress:
+            tag = ""
+        side = leg.sides.get(tag)
+        if side is not None:  # its ACK got lost
+            if side.ack is not None:
+                self._flow_for(side.dialog).send(side.ack)
+            return
+        side = leg.sides[tag] = Side(
+            call, Dialog(transaction.request, message, transaction.flow, True), False
+        )
+        self.dialogs[side.dialog.key] = side
+        chosen = not leg.cancelled and call.hub_side is None and not call.server.answered
+        if chosen and not call.server.request.body:
+            side.ack = None  # the caller's ACK will bring the answer to the hub's offer
+        else:
+            self._acknowledge(side, None)
+        if not chosen:  # a second fork, or it crossed our CANCEL: nobody wants it
+            self._end_leg(leg)
+            self._bye(side, 16)
+            return
+        call.hub_side = side
+        call.answer_kind = message.get("content-type", call.answer_kind)
+        self.inbox.tell(Stood(leg.attempt, message.body))
+
+    def _acknowledge(self, side: Side, caller_ack: Message | None) -> None:
+        dialog, flow = side.dialog, self._flow_for(side.dialog)
+        body = caller_ack.body if caller_ack is not None else b""
+        kind = content(caller_ack) if caller_ack is not None else []
+        side.ack = dialog.make("ACK", self._via(flow), *kind, seq=dialog.invite_seq, body=body)
+        flow.send(side.ack)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        call = self.calls.get(attempt.offer.call)
+        leg = call.legs.get(attempt.number) if call is not None else None
+        if leg is None or leg.cancelled or leg.sides or leg.transaction is None:
+            return
+        leg.cancelled = leg.transaction.abandoned = True
+        if not getattr(leg.transaction.flow, "was_up", True):  # it never left
+            leg.transaction.terminate()
+            self._end_leg(leg)
+        elif leg.provisional:
+            self._send_cancel(leg)  # else it has to wait for a provisional response (9.1)
+
+    def _send_cancel(self, leg: Leg) -> None:
+        transaction = leg.transaction
+        if transaction is None or transaction.state not in (State.CALLING, State.PROCEEDING):
+            return
+        made = within(transaction.request, "CANCEL")
+        self._client(transaction.flow, made, lambda message: None)
+
+        def unanswered() -> None:
+            if transaction.state is State.PROCEEDING:
+                transaction.terminate()
+                self._end_leg(leg)
+
+        self.at(self.now() + self.timing.b, unanswered)
+
+    def _end_leg(self, leg: Leg) -> None:
+        if leg.counted:
+            leg.counted = False
+            self._count(leg.hub, -1)
+
+    def _count(self, hub: HubPlace, by: int) -> None:
+        """Circuits towards a hub whose number of them is in the operator's file are counted here."""
+        self.used[hub.name] += by
+        if hub.circuits:
+            told = {Figure.FREE_CIRCUITS: hub.circuits - self.used[hub.name], Figure.GROUP_SIZE: hub.circuits}
+            figures = tuple(float(told.get(figure, -1)) for figure in self.set.figures)
+            self.inbox.tell(GroupState(hub.name, figures))
+
+    def _probe(self, name: bytes, deadline_ms: float) -> None:
+        hub, asked = self.hubs[name], self.now()
+        done = False
+
+        def answered(message: Message) -> None:
+            nonlocal done
+            if not done and message.status >= 200:
+                done = True
+                well = message.status < 300
+                self.inbox.tell(Probed(name, well, self.now() - asked + 0.1, figures_of(message, self.set)))
+
+        flow = self.transports.to(hub.transport, hub.host, hub.port, deadline_ms)
+        uri = f"sip:load@{hub.host}:{hub.port}"
+        made = request(
+            "OPTIONS", uri, ("via", self._via(flow)), ("max-forwards", "70"),
+            ("from", f"<sip:landingdeal@{self.config.host}>;tag={self._tag()}"), ("to", f"<{uri}>"),
+            ("call-id", self._tag() + self._tag()), ("cseq", "1 OPTIONS"),
+        )  # fmt: skip
+        self.at(deadline_ms, lambda: answered(response(Message(), 408)))
+        self._client(flow, made, answered)
+
+    # --- within dialogs ---
+
+    def _side(self, message: Message) -> Side | None:
+        try:
+            local, remote = parse_name_addr(message.get("to")).tag, parse_name_addr(message.get("from")).tag
+        except BadAddress:
+            return None
+        return self.dialogs.get((message.call_id, local, remote))
+
+    def _flow_for(self, dialog: Dialog) -> Flow:
+        """TCP: the dialog's connection while it lives; else the next hop's address, always an IP address."""
+        if dialog.flow.reliable and getattr(dialog.flow, "alive", False):
+            return dialog.flow
+        try:
+            uri = parse_uri(dialog.next_hop())
+        except BadAddress:
+            return dialog.flow
+        reliable = dialog.flow.reliable or uri.transport == "tcp"
+        flow = self.transports.to("TCP" if reliable else "UDP", uri.host, uri.port)
+        if reliable:
+            dialog.flow = flow
+        return flow
+
+    def _within(self, transaction: ServerTransaction, to_tag: str, flow: Flow) -> None:
+        message = transaction.request
+        side = self._side(message)
+        if side is None:
+            early = [c for c in self.early.values() if c.tag == to_tag and not c.server.answered]
+            if message.method == "BYE" and early and early[0].server.request.call_id == message.call_id:
+                transaction.respond(self._reply(message, 200))  # of an early dialog (15)
+                self._withdraw(early[0])
+                return
+            transaction.respond(self._reply(message, 481))
+            return
+        number = message.cseq[0]
+        if number <= side.dialog.remote_seq:  # out of order (12.2.2)
+            transaction.respond(self._reply(message, 500, ("retry-after", "1")))
+            return
+        if flow.reliable:
+            side.dialog.flow = flow
+        if message.method == "INVITE":
+            self._reinvite(side, transaction)
+            return
+        side.dialog.remote_seq = number
+        transaction.respond(self._reply(message, 200, ALLOW))
+        if message.method == "BYE":
+            self._drop_call(side.call, cause_of(message), side)
+
+    def _reinvite(self, side: Side, transaction: ServerTransaction) -> None:
+        message, other = transaction.request, side.other
+        if side.incoming is not None:  # a second one before the first was answered (14.2)
+            later = str(self.random.randint(0, 10))
+            transaction.respond(self._reply(message, 500, ("retry-after", later)))
+            return
+        if other is None or other.incoming is not None or other.unacked >= 0 or side.unacked >= 0:
+            transaction.respond(self._reply(message, 491))
+            return
+        side.dialog.remote_seq = message.cseq[0]
+        side.dialog.refreshed(message)
+        side.incoming = transaction
+        transaction.respond(response(message, 100))
+        flow = self._flow_for(other.dialog)
+        made = other.dialog.make(
+            "INVITE", self._via(flow), self._contact(flow), ALLOW, *content(message), body=message.body
+        )
+        other.dialog.invite_seq = made.cseq[0]
+        self._client(flow, made, lambda got: self._reinvited(side, transaction, got))
+
+    def _reinvited(self, side: Side, transaction: ServerTransaction, got: Message) -> None:
+        other, asked = side.other, transaction.request
+        if got.status < 200 or other is None:
+            return
+        if got.status < 300:
+            if transaction.answered:  # its ACK got lost, or the call is over by now
+                if other.ack is not None and other.ack.cseq[0] == other.dialog.invite_seq:
+                    self._flow_for(other.dialog).send(other.ack)
+                return
+            other.dialog.refreshed(got)
+            other.ack = None
+            if asked.body:
+                self._acknowledge(other, None)
+            side.incoming = None
+            contact = self._contact(transaction.flow)
+            final = self._reply(asked, 200, contact, ALLOW, *content(got), body=got.body)
+            self._stand(side, transaction, final)
+            return
+        side.incoming = None
+        more = [("retry-after", got.get("retry-after"))] if got.get("retry-after") else []
+        transaction.respond(self._reply(asked, got.status, *more))
+        if got.status in (408, 481) or not got.get("via"):  # that leg is gone (12.2.1.2)
+            self._drop_call(side.call, CAUSE_CUT, other)
+
+    def _cancel_reinvite(self, invite: ServerTransaction) -> None:
+        for side in self.dialogs.values():
+            if side.incoming is invite:
+                side.incoming = None
+                invite.respond(self._reply(invite.request, 487))
+                return
+
+    # --- the end of a call ---
+
+    def _bye(self, side: Side, cause: int) -> None:
+        if side.dialog.over:
+            return
+        if side.unacked >= 0 and side.caller:  # not before the ACK of the 2xx (15)
+            side.bye_cause = cause
+            return
+        if side.ack is None and not side.caller:
+            self._acknowledge(side, None)
+        self._close(side)
+        flow = self._flow_for(side.dialog)
+        made = side.dialog.make("BYE", self._via(flow), ("reason", f"Q.850;cause={cause}"))
+        self._client(flow, made, lambda message: None)
+
+    def _close(self, side: Side) -> None:
+        """The leg is over: a re-INVITE still open there gets its final answer first (15.1.2)."""
+        side.dialog.over = True
+        side.unacked = -1
+        if side.incoming is not None:
+            side.incoming.respond(self._reply(side.incoming.request, 487))
+            side.incoming = None
+        self.dialogs.pop(side.dialog.key, None)
+        if not side.caller:
+            for leg in side.call.legs.values():
+                if side in leg.sides.values():
+                    self._end_leg(leg)
+        self._forget(side.call)
+
+    def _forget(self, call: Call) -> None:
+        sides = [s for s in (call.caller_side, call.hub_side) if s is not None]
+        pending = not call.server.answered or any(not side.dialog.over for side in sides)
+        if not pending:
+            self.calls.pop(call.key, None)
+            self.merged.pop(call.merged_key, None)
+
+    def _drop_call(self, call: Call, cause: int, gone: Side | None) -> None:
+        """Ends both legs; `gone` is the one that ended it, or can't be reached. The core is told once."""
+        for side in (call.caller_side, call.hub_side):
+            if side is not None and not side.dialog.over:
+                if side is gone:
+                    self._close(side)
+                else:
+                    self._bye(side, cause)
+        if gone is not None and not gone.caller:
+            hub = next((leg.hub.name for leg in call.legs.values() if gone in leg.sides.values()), b"")
+            self.inbox.tell(HubReleased(call.key, hub, cause))
+        else:
+            self.inbox.tell(CallerReleased(call.key))
+
+    def _release_hub(self, hub: bytes, key: str) -> None:
+        call = self.calls.get(key)
+        for leg in list(call.legs.values()) if call is not None else ():
+            if leg.hub.name == hub:
+                for side in list(leg.sides.values()):
+                    self._bye(side, 16)
+
+    def _release_all(self) -> None:
+        for call in list(self.calls.values()):
+            if call.caller_side is not None or call.hub_side is not None:
+                self._drop_call(call, CAUSE_CUT, None)
+
+    def _flow_ended(self, flow: Flow) -> None:
+        """A connection closed, was reset, or never came up.
+
+        What awaited a response on it has failed. A dialog belongs to no connection; but its peer may be gone,
+        and then nobody would ever end the call: each such leg is asked on a new connection.
+        """
+        for transaction in list(self.clients.values()):
+            if transaction.flow is flow:
+                transaction.failed()
+        for server in list(self.servers.values()):  # the final answer itself could not be brought
+            if isinstance(server.flow, ReplyFlow) and server.flow.spare is flow:
+                call = self.early.get(server.key)
+                if call is not None and call.caller_side is not None:
+                    self._drop_call(call, CAUSE_CUT, call.caller_side)
+        for side in list(self.dialogs.values()):
+            if side.dialog.flow is flow and not side.dialog.over:
+                self._check(side)
+
+    def _check(self, side: Side) -> None:
+        if side.checking:
+            return
+        side.checking = True
+
+        def answered(message: Message) -> None:
+            if message.status < 200:
+                return
+            side.checking = False
+            lost = message.status in (408, 481) or not message.get("via")
+            if lost and not side.dialog.over:
+                who = "caller" if side.caller else "lab hub"
+                say(f"call {side.call.key}: the {who} can't be reached any more")
+                self._drop_call(side.call, CAUSE_CUT, side)
+
+        flow = self._flow_for(side.dialog)
+        self._client(flow, side.dialog.make("OPTIONS", self._via(flow)), answered)
--- /dev/null
+++ b/landingdeal/sip/headers.py
@@ -0,0 +1,47 @@
+"""The headers of the platform and of our hubs that both fronts read: reports, notes, causes, facts."""
+
+from __future__ import annotations
+
+from badgerstile.interface import Figure, Reason, Settings
+from landingdeal.sip.message import Message
+
+REPORT_NAMES = {
+    "x0": Figure.FREE_CIRCUITS, "free": Figure.FREE_CIRCUITS,
+    "x1": Figure.GROUP_SIZE, "size": Figure.GROUP_SIZE,
+    "queue": Figure.QUEUE, "depth": Figure.QUEUE,
+    "qps": Figure.ROOM_PER_S, "can_take": Figure.ROOM_PER_S,
+    "util": Figure.BUSY, "load_share": Figure.BUSY,
+    "latency_ms": Figure.WAIT_MS, "mean_ms": Figure.WAIT_MS,
+    "inflight": Figure.IN_WORK, "concurrent": Figure.IN_WORK,
+    "eps": Figure.HOLD_BACK, "hold_back": Figure.HOLD_BACK,
+}  # fmt: skip
+NOTES = {
+    "nc": Reason.NO_CIRCUIT, "tb": Reason.TANDEM, "fovl": Reason.TANDEM_FAR_FULL,
+    "ovl": Reason.PROCESSOR_FULL, "busy": Reason.LINES_BUSY,
+}  # fmt: skip
+
+
+def cause_of(message: Message) -> int:
+    """The cause of `Reason: Q.850;cause=N`; 16, an ordinary end, where none can be read."""
+    _, _, value = message.get("reason").partition("cause=")
+    digits = value.split(";")[0].strip()
+    return int(digits) if digits.isascii() and digits.isdecimal() and len(digits) < 4 else 16
+
+
+def reason_of(message: Message) -> Reason:
+    return NOTES.get(message.get("x-note").strip(), Reason.NONE)
+
+
+def figures_of(message: Message, settings: Settings) -> tuple[float, ...]:
+    """`X-State: x0:12;x1:40;queue:3` in the order of the settings; -1 for what it does not name."""
+    text = message.get("x-state")
+    if not text:
+        return ()
+    told: dict[Figure, float] = {}
+    for part in text.split(";"):
+        name, _, value = part.partition(":")
+        try:
+            told[REPORT_NAMES.get(name.strip(), Figure.UNKNOWN)] = float(value)
+        except ValueError:
+            continue
+    return tuple(told.get(figure, -1.0) for figure in settings.figures)
--- /dev/null
+++ b/landingdeal/sip/transport.py
@@ -0,0 +1,164 @@
+"""Flows of the SIP front: UDP datagrams and TCP connections. Nobody here waits on a peer."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from landingdeal.clock import now_ms
+from landingdeal.log import say
+from landingdeal.net.link import Link, dial, serve, start_thread
+from landingdeal.sip.message import MAX_MESSAGE, Malformed, Message, decode_datagram, encode
+from landingdeal.sip.transaction import Flow
+
+DIAL_MS = 2000.0
+HELD_MOST = 64  # messages that wait for a connection to come up
+LINKS_MOST = 400
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A message as it came: from where, and the flow on which an answer goes back."""
+
+    message: Message | Malformed
+    host: str
+    port: int
+    flow: Flow
+
+
+class UdpFlow:
+    reliable = False
+    alive = True
+    was_up = True
+
+    def __init__(self, sock: socket.socket, host: str, port: int) -> None:
+        self.sock, self.host, self.port = sock, host, port
+        self.name = f"UDP {host}:{port}"
+
+    def send(self, message: Message) -> None:
+        try:
+            self.sock.sendto(encode(message), socket.MSG_DONTWAIT, (self.host, self.port))
+        except OSError as error:  # a datagram may get lost; the transaction sends it again
+            say(f"{self.name}: {error}")
+
+
+class TcpFlow:
+    """One connection, perhaps still coming up; what is sent meanwhile is held."""
+
+    reliable = True
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host, self.port = host, port
+        self.name = f"TCP {host}:{port}"
+        self.lock = threading.Lock()
+        self.link: Link | None = None
+        self.held: list[Message] = []
+        self.alive = True
+        self.was_up = False
+
+    def send(self, message: Message) -> None:
+        with self.lock:
+            if self.link is None:
+                if self.alive and len(self.held) < HELD_MOST:
+                    self.held.append(message)
+                return
+            link = self.link
+        link.send(message)
+
+    def up(self, link: Link) -> None:
+        with self.lock:
+            self.link, self.was_up = link, True
+            held, self.held = self.held, []
+            for message in held:
+                link.send(message)
+
+
+class Transports:
+    """All flows of the front. `on_received` and `on_end` are called from readers' threads."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        on_received: Callable[[Received], None],
+        on_end: Callable[[TcpFlow], None],
+    ) -> None:
+        self.host, self.port = host, port
+        self.on_received, self.on_end = on_received, on_end
+        self.lock = threading.Lock()
+        self.flows: dict[Link, TcpFlow] = {}
+        self.out: dict[tuple[str, int], TcpFlow] = {}
+        self.oversize = 0
+        self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.udp.bind((host, port))
+
+    def start(self) -> None:
+        self.listener = serve(self.host, self.port, self._accepted)
+        start_thread("udp", self._read_udp)
+
+    def to(self, transport: str, host: str, port: int, deadline_ms: float | None = None) -> Flow:
+        """A flow towards an address; a TCP connection there is used again, or dialled off this thread."""
+        if transport != "TCP":
+            return UdpFlow(self.udp, host, port)
+        with self.lock:
+            flow = self.out.get((host, port))
+            if flow is not None and flow.alive:
+                return flow
+            flow = self.out[host, port] = TcpFlow(host, port)
+        until = deadline_ms if deadline_ms is not None else now_ms() + DIAL_MS
+        start_thread("dial", lambda: self._dial(flow, min(until, now_ms() + DIAL_MS)))
+        return flow
+
+    def _dial(self, flow: TcpFlow, deadline_ms: float) -> None:
+        try:
+            sock = dial(flow.host, flow.port, deadline_ms)
+        except OSError:
+            flow.alive = False
+            self.on_end(flow)
+            return
+        self._run(flow, sock)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        try:
+            host, port = sock.getpeername()[:2]
+        except OSError:
+            sock.close()
+            return
+        if len(self.flows) >= LINKS_MOST:  # guards the descriptors
+            sock.close()
+            return
+        self._run(TcpFlow(host, port), sock)
+
+    def _run(self, flow: TcpFlow, sock: socket.socket) -> None:
+        link = Link(sock, lambda _, m: self._received(flow, m), lambda on, _: self._ended(flow, on))
+        with self.lock:
+            self.flows[link] = flow
+        flow.up(link)
+        link.start()
+
+    def _received(self, flow: TcpFlow, message: Message | Malformed) -> None:
+        self.on_received(Received(message, flow.host, flow.port, flow))
+
+    def _ended(self, flow: TcpFlow, link: Link) -> None:
+        flow.alive = False
+        with self.lock:
+            self.flows.pop(link, None)
+            if self.out.get((flow.host, flow.port)) is flow:
+                del self.out[flow.host, flow.port]
+        self.on_end(flow)
+
+    def _read_udp(self) -> None:
+        while True:
+            try:
+                data, (host, port) = self.udp.recvfrom(65536)
+            except OSError:
+                if self.udp.fileno() < 0:
+                    return
+                continue  # an ICMP error of an earlier datagram
+            if len(data) > MAX_MESSAGE:
+                self.oversize += 1
+                say(f"UDP {host}:{port}: {len(data)} bytes are over 16 KiB ({self.oversize} so far)")
+            elif data.strip(b"\r\n\0"):  # keep-alives are empty
+                self.on_received(Received(decode_datagram(data), host, port, UdpFlow(self.udp, host, port)))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -267,7 +267,11 @@
         return log.decode()
 
 
-def play(stage: Platform, scenario: str) -> None:
+class Stage(Protocol):
+    def line(self, who: str, verb: str, *words: str) -> None: ...
+
+
+def play(stage: Stage, scenario: str) -> None:
     for number, line in enumerate(scenario.strip().splitlines(), 1):
         words = line.split()
         if words:
