Bring a refusal that met a closing connection on a new one

The 2xx was sent again at T1, as it should; the check was needless, and a refusal would not have been sent again at all. At fault: SipFront._flow_ended, which looked at dialogs only.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -520,7 +520,8 @@
             ("from", f"<sip:landingdeal@{self.config.host}:{self.config.port}>;tag={self._tag()}"),
             ("to", f"<sip:{user}@{hub.host}:{hub.port}>"), ("call-id", f"{call.key}-{attempt.number}"),
             ("cseq", "1 INVITE"), self._contact(flow), ALLOW, ("subject", attempt.offer.class_name),
-            ("x-patience", str(int(left))), ("expires", str(math.ceil(left / 1000))), *content(invite), body=invite.body,
+            ("x-patience", str(int(left))), ("expires", str(math.ceil(left / 1000))), *content(invite),
+            body=invite.body,
         )  # fmt: skip
         leg.transaction = self._client(flow, made, lambda message: self._answered(leg, message))
         leg.counted = True
@@ -829,12 +830,17 @@
             if transaction.flow is flow:
                 transaction.failed()
         for server in list(self.servers.values()):  # the final answer itself could not be brought
-            if isinstance(server.flow, ReplyFlow) and server.flow.spare is flow:
+            if not isinstance(server.flow, ReplyFlow):
+                continue
+            if server.flow.first is flow and server.state is State.COMPLETED:
+                server.retransmitted()  # guards a refusal written into a connection just being closed
+            if server.flow.spare is flow:
                 call = self.early.get(server.key)
                 if call is not None and call.caller_side is not None:
                     self._drop_call(call, CAUSE_CUT, call.caller_side)
         for side in list(self.dialogs.values()):
-            if side.dialog.flow is flow and not side.dialog.over:
+            awaited = side.unacked >= 0  # its 2xx is sent again anyhow, on a new connection
+            if side.dialog.flow is flow and not side.dialog.over and not awaited:
                 self._check(side)
 
     def _check(self, side: Side) -> None:
