--- a/landingdeal/__main__.py
+++ b/landingdeal/__main__.py
@@ -23,6 +23,7 @@
 from landingdeal.net.hubs import Hubs
 from landingdeal.net.link import start_thread
 from landingdeal.operator import Operator, read_operator
+from landingdeal.pcap import NotPcap
 from landingdeal.sip.front import SipFront
 
 READY_MS = 1000.0  # a test is passed once all lab hubs are connected, at the latest so long after the start
@@ -82,7 +83,7 @@
     broker = Broker(operator.settings, seed, inbox, front, lambda call, cause: None, contracts)
     listed = tuple(Listed(hub.name, hub.number, Health.READY, 0.0) for hub in operator.sip.hubs)
     inbox.tell(News(ExchangeList(ListKind.REMEMBERED, listed)))
-    front.start()
+    front.start(operator.capture_in, operator.capture_out)
     say(f"SIP front on {operator.sip.host}:{operator.sip.port}, UDP and TCP")
     run(broker, lambda: None)
     front.release_all()
@@ -113,7 +114,7 @@
             raise ConfigError(
                 "neither ROUTER_CONFIG nor an operator's file with the SIP front enabled is named"
             )
-    except (ConfigError, OSError, UnicodeDecodeError) as error:
+    except (ConfigError, NotPcap, OSError, UnicodeDecodeError) as error:
         print(f"landingdeal: {error}", file=sys.stderr)
         return 2
     return 0
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -164,7 +164,6 @@
                 if exchange is not None and exchange.attempt is None:
                     exchange.refuse(self._come_back(), Why.FAILED)
                     self._forget(exchange)
-                    self._module(CallerLeft(exchange.number))
 
     def _at(self, when: float, what: Timer) -> None:
         heapq.heappush(self.timers, (when, next(self.order), what))
--- a/landingdeal/operator.py
+++ b/landingdeal/operator.py
@@ -11,7 +11,7 @@
 from badgerstile.wire import WireError, read_settings
 from landingdeal.core.contracts import Contract
 from landingdeal.net.config import ConfigError, address
-from landingdeal.sip.front import HubPlace, SipConfig
+from landingdeal.sip.call import HubPlace, SipConfig
 from landingdeal.sip.transaction import Timing
 
 
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from badgerstile.interface import Ending, Figure, Reason, Settings
 from landingdeal.core.broker import CAUSE_CUT, Inbox
@@ -27,7 +27,10 @@
     Withdrawn,
 )
 from landingdeal.log import say
+from landingdeal.net.link import start_thread
 from landingdeal.sip.address import MAGIC, BadAddress, Via, parse_name_addr, parse_uri, parse_via, split_top
+from landingdeal.sip.call import Call, HubPlace, Leg, Side, SipCaller, SipConfig
+from landingdeal.sip.capture import Capture, CaptureFlow, CaptureWriter
 from landingdeal.sip.dialog import Dialog
 from landingdeal.sip.headers import cause_of, figures_of, reason_of
 from landingdeal.sip.loop import Loop, Work
@@ -37,7 +40,6 @@
     Flow,
     ServerTransaction,
     State,
-    Timing,
     Transaction,
     within,
 )
@@ -56,87 +58,6 @@
 OnResponse = Callable[[Message], None]
 
 
-@dataclass(frozen=True, slots=True)
-class HubPlace:
-    """A lab hub of the operator's file; `circuits` 0 where they are not counted here."""
-
-    name: bytes
-    number: int
-    transport: str
-    host: str
-    port: int
-    circuits: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class SipConfig:
-    host: str
-    port: int
-    timing: Timing
-    hubs: tuple[HubPlace, ...]
-    routes: tuple[tuple[str, int], ...]  # prefix of the number called, number of the lab hub
-    default_class: str
-
-
-class SipCaller:
-    """What the core holds of a caller: it posts, and never waits."""
-
-    __slots__ = ("front", "call")
-
-    def __init__(self, front: SipFront, call: Call) -> None:
-        self.front, self.call = front, call
-
-    def answer(self, description: bytes) -> None:
-        self.front.loop.post(lambda: self.front.answer_call(self.call, description))
-
-    def refuse(self, come_back_ms: float, why: Why) -> None:
-        self.front.loop.post(lambda: self.front.refuse_call(self.call, come_back_ms, why))
-
-    def release(self, cause: int) -> None:
-        self.front.loop.post(lambda: self.front.release_caller(self.call, cause))
-
-
-class Side:
-    """One standing leg of a call."""
-
-    def __init__(self, call: Call, dialog: Dialog, caller: bool) -> None:
-        self.call, self.dialog, self.caller = call, dialog, caller
-        self.incoming: ServerTransaction | None = None  # a re-INVITE from here that is under way
-        self.unacked = -1  # number of the INVITE whose 2xx from us has no ACK yet
-        self.bye_cause = -1  # a release that has to wait for that ACK
-        self.ack: Message | None = None  # the last that we sent here
-        self.checking = False
-
-    @property
-    def other(self) -> Side | None:
-        return self.call.hub_side if self.caller else self.call.caller_side
-
-
-class Leg:
-    """An INVITE of ours towards a lab hub."""
-
-    def __init__(self, call: Call, attempt: Attempt, hub: HubPlace) -> None:
-        self.call, self.attempt, self.hub = call, attempt, hub
-        self.transaction: ClientTransaction | None = None
-        self.provisional = self.cancelled = self.counted = False
-        self.sides: dict[str, Side] = {}  # by the hub's tag
-
-
-class Call:
-    def __init__(self, key: str, server: ServerTransaction, tag: str) -> None:
-        self.key, self.server, self.tag = key, server, tag
-        self.caller: SipCaller
-        self.legs: dict[int, Leg] = {}
-        self.caller_side: Side | None = None
-        self.hub_side: Side | None = None
-        self.answer_kind = "application/sdp"
-
-    @property
-    def merged_key(self) -> tuple[str, str, int]:
-        invite = self.server.request
-        return invite.call_id, parse_name_addr(invite.get("from")).tag, invite.cseq[0]
-
-
 def content(message: Message) -> list[tuple[str, str]]:
     """The type of a body that is passed on unchanged."""
     return [("content-type", message.get("content-type", "application/sdp"))] if message.body else []
@@ -149,14 +70,14 @@
         self.front, self.first = front, received.flow
         self.host = received.host
         self.port = received.port if "rport" in via.params else via.port
-        self.reliable = received.flow.reliable
-        self.name = received.flow.name
+        self.kind, self.reliable = received.flow.kind, received.flow.reliable
+        self.alive = self.was_up = True
         self.spare: Flow | None = None
 
     def send(self, message: Message) -> None:
         if not self.reliable:
             self.front.transports.to("UDP", self.host, self.port).send(message)
-        elif getattr(self.first, "alive", True):
+        elif self.first.alive:
             self.first.send(message)
         else:
             self.spare = self.front.transports.to("TCP", self.host, self.port)
@@ -180,9 +101,15 @@
         self.dialogs: dict[tuple[str, str, str], Side] = {}
         self.strays = 0
 
-    def start(self) -> None:
+    def start(self, capture_in: str = "", capture_out: str = "") -> None:
+        """With a capture, callers' messages also come from there, and the answers to those go to another."""
+        listen = (self.config.host, self.config.port)
+        sink = CaptureWriter(capture_out)
+        capture = Capture(capture_in, sink, listen) if capture_in else None
         self.loop.start()
         self.transports.start()
+        if capture is not None:
+            start_thread("capture", lambda: capture.play(self.received))
         for hub in self.config.hubs:
             self._count(hub, 0)
 
@@ -243,12 +170,11 @@
         return f"{self.random.getrandbits(48):012x}"
 
     def _via(self, flow: Flow) -> str:
-        kind = "TCP" if flow.reliable else "UDP"
         branch = f"{MAGIC}{self.random.getrandbits(64):016x}"
-        return f"SIP/2.0/{kind} {self.config.host}:{self.config.port};branch={branch};rport"
+        return f"SIP/2.0/{flow.kind} {self.config.host}:{self.config.port};branch={branch};rport"
 
     def _contact(self, flow: Flow) -> tuple[str, str]:
-        suffix = ";transport=tcp" if flow.reliable else ""
+        suffix = ";transport=tcp" if flow.kind == "TCP" else ""
         return "contact", f"<sip:landingdeal@{self.config.host}:{self.config.port}{suffix}>"
 
     def _reply(
@@ -316,7 +242,7 @@
         key = self._key(message, via, sender.tag)
         flow = ReplyFlow(self, received, via)
         if message.method == "ACK":
-            self._ack(message, key)
+            self._ack(message, key, received.flow)
             return
         known = self.servers.get(f"{key}|{message.method}")
         if known is not None:
@@ -428,12 +354,12 @@
         call.server.respond(self._reply(call.server.request, 487, tag=call.tag))
         self.inbox.tell(Withdrawn(call.key, call.caller))
 
-    def _ack(self, message: Message, key: str) -> None:
+    def _ack(self, message: Message, key: str, flow: Flow) -> None:
         invite = self.servers.get(f"{key}|INVITE")
         if invite is not None and invite.state in (State.COMPLETED, State.CONFIRMED):
             invite.acknowledged()
             return
-        side = self._side(message)
+        side = self._side(message, flow)
         if side is None or side.unacked != message.cseq[0]:
             return  # a stray ACK gets no answer
         side.unacked = -1
@@ -532,7 +458,7 @@
         transaction = ClientTransaction(self, flow, made, f"{branch}|{made.method}", on_response)
         self.clients[transaction.key] = transaction
         transaction.start()
-        if isinstance(flow, TcpFlow) and not flow.alive:
+        if not flow.alive:
             self.loop.post(transaction.failed)
         return transaction
 
@@ -555,7 +481,7 @@
         transaction = leg.transaction
         ending, reason = ENDINGS.get(message.status, Ending.ERROR), reason_of(message)
         if not message.get("via") and message.status == 503:  # the transport failed
-            up = transaction is None or getattr(transaction.flow, "was_up", True)
+            up = transaction is None or transaction.flow.was_up
             ending = Ending.CUT if up else Ending.UNREACHABLE
         elif message.status == 503 and reason is Reason.NONE:
             reason = Reason.PROCESSOR_FULL
@@ -605,7 +531,7 @@
         if leg is None or leg.cancelled or leg.sides or leg.transaction is None:
             return
         leg.cancelled = leg.transaction.abandoned = True
-        if not getattr(leg.transaction.flow, "was_up", True):  # it never left
+        if not leg.transaction.flow.was_up:  # it never left
             leg.transaction.terminate()
             self._end_leg(leg)
         elif leg.provisional:
@@ -661,16 +587,19 @@
 
     # --- within dialogs ---
 
-    def _side(self, message: Message) -> Side | None:
+    def _side(self, message: Message, flow: Flow) -> Side | None:
         try:
             local, remote = parse_name_addr(message.get("to")).tag, parse_name_addr(message.get("from")).tag
         except BadAddress:
             return None
+        if isinstance(flow, CaptureFlow):  # what was recorded names the tag of whoever answered then
+            known = [side for key, side in self.dialogs.items() if key[::2] == (message.call_id, remote)]
+            return known[0] if known else None
         return self.dialogs.get((message.call_id, local, remote))
 
     def _flow_for(self, dialog: Dialog) -> Flow:
         """TCP: the dialog's connection while it lives; else the next hop's address, always an IP address."""
-        if dialog.flow.reliable and getattr(dialog.flow, "alive", False):
+        if dialog.flow.reliable and dialog.flow.alive:
             return dialog.flow
         try:
             uri = parse_uri(dialog.next_hop())
@@ -684,7 +613,7 @@
 
     def _within(self, transaction: ServerTransaction, to_tag: str, flow: Flow) -> None:
         message = transaction.request
-        side = self._side(message)
+        side = self._side(message, flow)
         if side is None:
             early = [c for c in self.early.values() if c.tag == to_tag and not c.server.answered]
             if message.method == "BYE" and early and early[0].server.request.call_id == message.call_id:
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -35,11 +35,18 @@
 class Flow(Protocol):
     """Where messages of a transaction go."""
 
+    @property
+    def kind(self) -> str:
+        """UDP or TCP, as Via names it."""
+
     @property
     def reliable(self) -> bool: ...
 
     @property
-    def name(self) -> str: ...
+    def alive(self) -> bool: ...
+
+    @property
+    def was_up(self) -> bool: ...
 
     def send(self, message: Message) -> None: ...
 
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -29,6 +29,7 @@
 
 
 class UdpFlow:
+    kind = "UDP"
     reliable = False
     alive = True
     was_up = True
@@ -47,6 +48,7 @@
 class TcpFlow:
     """One connection, perhaps still coming up; what is sent meanwhile is held."""
 
+    kind = "TCP"
     reliable = True
 
     def __init__(self, host: str, port: int) -> None:
--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -18,11 +18,12 @@
 import sys
 import threading
 import time
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 
-from landingdeal.sip.address import parse_name_addr, parse_uri
+from landingdeal.sip.address import parse_name_addr
 from landingdeal.sip.message import Malformed, Message, decode_datagram, encode, request, response
 from tests.scenario import BODY, PATIENCE_S, ROOT, Mailbox, TcpWire, described
 
@@ -106,7 +107,7 @@
         f'[[sip.route]]\nprefix = "{name[3:]}"\nhub = {name[3:]}\n'
         for name, hub in hubs.items()
     )
-    return f'{extra}[sip]\nenabled = true\nlisten = "127.0.0.1:{port}"\nt1_ms = {T1_MS}\n{rows}{settings}'
+    return f'[sip]\nenabled = true\nlisten = "127.0.0.1:{port}"\nt1_ms = {T1_MS}\n{extra}{rows}{settings}'
 
 
 def free_port() -> int:
@@ -115,9 +116,16 @@
 
 
 class SipStage:
-    def __init__(self, folder: Path, transport: str, extra: str = "") -> None:
-        self.transport, self.port = transport, free_port()
-        self.parties = {name: Party(name, transport) for name in ("hub1", "hub2")}
+    def __init__(
+        self,
+        folder: Path,
+        transport: str,
+        extra: str = "",
+        hubs: Mapping[str, Party] | None = None,
+        port: int = 0,
+    ) -> None:
+        self.transport, self.port = transport, port or free_port()
+        self.parties = dict(hubs or {name: Party(name, transport) for name in ("hub1", "hub2")})
         path = folder / "operator.toml"
         path.write_text(operator_file(self.port, self.parties, extra))
         self.program = subprocess.Popen(
@@ -140,7 +148,7 @@
         party = self.parties.setdefault(who, Party(who, self.transport)) if who not in self.parties else None
         getattr(self, f"_{verb}")(party or self.parties[who], *words)
 
-    def _wire(self, party: Party) -> UdpWire | TcpWire:
+    def wire(self, party: Party) -> UdpWire | TcpWire:
         if self.transport == "udp":
             return UdpWire(party.sock, ("127.0.0.1", self.port))
         if not party.wires:
@@ -204,7 +212,7 @@
         made = replace(made, headers=tuple(h for h in made.headers if h[0] != drop or h in headers))
         if what != "ACK":
             party.sent[call] = made if what != "CANCEL" or last is None else last
-        wire = self._wire(party)
+        wire = self.wire(party)
         if party.name.startswith("hub") and self.transport == "tcp":
             made_on = party.got[call, "INVITE"][0]
             wire = made_on if made_on in party.wires else wire
@@ -212,7 +220,7 @@
         wire.put(encode(made).replace(b" SIP/2.0\r\n", f" SIP/{version}\r\n".encode(), 1))
 
     def _again(self, party: Party, name: str) -> None:
-        self._wire(party).put(encode(party.sent[party.names[name]]))
+        self.wire(party).put(encode(party.sent[party.names[name]]))
 
     def _expect(self, party: Party, what: str, name: str = "", *more: str) -> None:
         while True:
@@ -269,6 +277,3 @@
         _, log = self.program.communicate()
         return log.decode()
 
-
-def user_of(message: Message) -> str:
-    return parse_uri(message.uri).user
