--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+CI = .ci-venv/bin
+
+.PHONY: build test lint types unit run sip drill clean
+
+build: .venv
+.venv:
+	$(PYTHON) -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+
+.ci-venv: requirements-dev.txt
+	$(PYTHON) -m venv .ci-venv
+	$(CI)/pip -q install -r requirements.txt -r requirements-dev.txt
+	touch .ci-venv
+
+test: lint types unit
+
+lint: .ci-venv
+	$(CI)/ruff check badgerstile landingdeal tests
+
+types: .ci-venv
+	$(CI)/mypy
+
+unit: .ci-venv
+	$(CI)/python -m pytest -q
+
+run: build
+	.venv/bin/python -B -m landingdeal
+
+sip: build
+	env -u ROUTER_CONFIG .venv/bin/python -B -m landingdeal --operator deploy/operator.toml
+
+drill: build
+	.venv/bin/python -B -m badgerstile.drill
+
+clean:
+	rm -rf .venv .ci-venv .pytest_cache .mypy_cache .ruff_cache
--- a/landingdeal/__main__.py
+++ b/landingdeal/__main__.py
@@ -49,7 +49,7 @@
 def platform(config: Config, operator: Operator) -> None:
     inbox = Inbox()
     hubs = Hubs(config.settings, inbox, f"{config.host}:{config.port}", config.dial_ms)
-    callers = Callers(config.settings, inbox, config.host, config.port)
+    callers = Callers(config.settings, inbox, config.host, config.port, config.sockets)
     contracts = Contracts(operator.contracts)
     broker = Broker(config.settings, config.seed, inbox, hubs, callers.release, contracts)
 
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -57,7 +57,7 @@
 
 INBOX_MOST = 4096  # set-ups above this are refused by the front at once
 OPEN_MOST = 4000  # calls waiting for an answer
-STANDING_MOST = 20000
+STANDING_MOST = 20000  # above this the one that has stood longest is no longer followed
 BATCH_MOST = 256
 LAST_MOMENT_MS = 30.0  # before a call's deadline the core answers by itself if the module has not
 RELEASE_MARGIN_MS = 10.0  # a release counts from where it arrives, which is later than where it was decided
@@ -74,10 +74,11 @@
     def __init__(self) -> None:
         self.queue: queue.Queue[Arrival] = queue.Queue(INBOX_MOST * 2)
         self.own: deque[Arrival] = deque()
+        self.closed = False
 
     def offer(self, offer: Offer) -> bool:
-        """False: the inbox is full and the caller has to be refused where it stands."""
-        if self.queue.qsize() >= INBOX_MOST:
+        """False: the inbox is full, or the core has ended; the caller has to be refused where it stands."""
+        if self.closed or self.queue.qsize() >= INBOX_MOST:
             return False
         self.queue.put(offer)
         return True
@@ -89,6 +90,9 @@
         """For the core's own thread, which must not wait for room: it alone makes room."""
         self.own.append(event)
 
+    def empty(self) -> bool:
+        return not self.own and self.queue.empty()
+
     def take(self, until_ms: float) -> Iterator[Arrival]:
         """Waits until something comes or `until_ms`; then all that is there, up to a batch."""
         waits = not self.own
@@ -139,8 +143,12 @@
     # --- the loop ---
 
     def run(self) -> None:
-        while not (self.stopping and not self.open and now_ms() >= self.stop_ms):
+        while not (self.stopping and not self.open and now_ms() >= self.stop_ms and self.inbox.closed):
             self.turn()
+            if self.stopping and not self.open and now_ms() >= self.stop_ms:
+                self.inbox.closed = True  # from here on the front refuses; what had come in is still answered
+                while not self.inbox.empty() or self.open:
+                    self.turn()
 
     def turn(self) -> None:
         """One batch: all of it happens at one time, as the decision module expects."""
@@ -301,7 +309,9 @@
                 self.hubs.release(attempt.hub, call)
             return
         if len(self.standing) >= STANDING_MOST:
-            self.standing.pop(next(iter(self.standing)))
+            oldest = next(iter(self.standing))
+            del self.standing[oldest]
+            self.contracts.ended(oldest)
         self.standing[call] = Standing(exchange.offer, exchange.number, attempt)
         exchange.answer(event.description)
         self._forget(exchange)
--- a/landingdeal/net/bus.py
+++ b/landingdeal/net/bus.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 from collections.abc import Callable, Iterator
 
 from landingdeal.clock import now_ms, seconds_until
@@ -20,14 +21,13 @@
 class BusReader:
     def __init__(self, where: tuple[str, int], offset: int, told: Callable[[TopologyEvent], None]) -> None:
         self.where, self.offset, self.told = where, offset, told
+        self.stopped = False
 
     def start(self) -> None:
         start_thread("bus", self._run)
 
     def _run(self) -> None:
-        import time
-
-        while True:
+        while not self.stopped:
             try:
                 sock = dial(*self.where, now_ms() + DIAL_MS)
                 with sock:
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -13,7 +13,7 @@
 from landingdeal.net.link import Link, serve
 from landingdeal.sip.message import Malformed, Message, request, response
 
-LINKS_MOST = 400  # callers hold at most a third of the descriptors; above this a connection is closed at once
+LINKS_PART = 0.4  # of the descriptors: callers hold a third at most; above this a connection is closed
 UNHEARD_MOST = 2000  # releases that no caller was there to hear
 UNHEARD_MS = 15000.0  # so long such a release is kept
 STATUS = {Why.FAILED: 500, Why.FORBIDDEN: 403}  # all others: 503, trying again is harmless
@@ -52,10 +52,11 @@
 
 
 class Callers:
-    def __init__(self, settings: Settings, inbox: Inbox, host: str, port: int) -> None:
+    def __init__(self, settings: Settings, inbox: Inbox, host: str, port: int, sockets: int) -> None:
         self.inbox = inbox
         self.via = f"SIP/2.0/TCP {host}:{port}"
         self.later = str(int(settings.max_retry_advice_ms or 1000.0))
+        self.links_most = int(sockets * LINKS_PART)
         self.lock = threading.Lock()
         self.links: dict[Link, dict[str, Caller]] = {}  # and the set-ups open on each
         self.unheard: OrderedDict[str, tuple[float, int]] = OrderedDict()
@@ -70,7 +71,7 @@
 
     def _accepted(self, sock: socket.socket) -> None:
         with self.lock:
-            if len(self.links) >= LINKS_MOST:
+            if len(self.links) >= self.links_most:
                 sock.close()
                 return
             link = Link(sock, self._message, self._ended)
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -93,6 +93,8 @@
         for hub in hubs:
             died = False
             with hub.wake:
+                late = [key for key, probing in hub.probes.items() if now > probing.deadline_ms]
+                lost = [hub.probes.pop(key) for key in late]
                 silent = now - hub.heard_ms
                 if hub.link is not None and silent > QUIET_MS:
                     self._doubt(hub)
@@ -100,6 +102,8 @@
                     died = hub.written_off = True
                 idle = [link for link, calls in hub.open.items() if link is not hub.link and not calls]
                 spare = idle if hub.link is not None else []
+            for probing in lost:
+                self.inbox.tell(Probed(hub.name, False, probing.deadline_ms - probing.sent_ms))
             for link in spare:
                 link.close()
             if died:
@@ -270,14 +274,10 @@
             return
         with hub.wake:
             now = now_ms()
-            late = [key for key, probing in hub.probes.items() if now > probing.deadline_ms]
-            lost = [hub.probes.pop(key) for key in late]
             self.probe_number += 1
             key = f"{self.probe_number:016x}"
             hub.probes[key] = Probing(name, now, deadline_ms)
             link = hub.link
-        for probing in lost:
-            self.inbox.soon(Probed(name, False, probing.deadline_ms - probing.sent_ms))
         if link is not None:
             link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", key), ("cseq", "1 OPTIONS")))
 
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -8,9 +8,6 @@
 
 import hashlib
 import math
-import random
-from collections.abc import Callable
-from dataclasses import replace
 
 from badgerstile.interface import Ending, Figure, Reason, Settings
 from landingdeal.core.broker import CAUSE_CUT, Inbox
@@ -28,24 +25,20 @@
 )
 from landingdeal.log import say
 from landingdeal.net.link import start_thread
-from landingdeal.sip.address import MAGIC, BadAddress, Via, parse_name_addr, parse_uri, parse_via, split_top
+from landingdeal.sip.address import BadAddress, parse_name_addr, parse_uri
 from landingdeal.sip.call import Call, HubPlace, Leg, Side, SipCaller, SipConfig
 from landingdeal.sip.capture import Capture, CaptureFlow, CaptureWriter
 from landingdeal.sip.dialog import Dialog
+from landingdeal.sip.endpoint import Endpoint, ReplyFlow
 from landingdeal.sip.headers import cause_of, figures_of, reason_of
-from landingdeal.sip.loop import Loop, Work
-from landingdeal.sip.message import Malformed, Message, request, response
+from landingdeal.sip.message import Message, request, response
 from landingdeal.sip.transaction import (
-    ClientTransaction,
     Flow,
     ServerTransaction,
     State,
-    Transaction,
     within,
 )
-from landingdeal.sip.transport import Received, TcpFlow, Transports
 
-TRANSACTIONS_MOST = 8192
 CALLS_MOST = 4000
 ALLOW = ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
 STATUS = {Why.BUSY: 486, Why.TIMED_OUT: 408, Why.FAILED: 500, Why.FORBIDDEN: 403}
@@ -55,51 +48,22 @@
 }  # fmt: skip
 BUSY = (486, 600)
 
-OnResponse = Callable[[Message], None]
-
 
 def content(message: Message) -> list[tuple[str, str]]:
     """The type of a body that is passed on unchanged."""
     return [("content-type", message.get("content-type", "application/sdp"))] if message.body else []
 
 
-class ReplyFlow:
-    """Where responses go: the request's connection, else a new one to the address in its Via (18.2.2)."""
-
-    def __init__(self, front: SipFront, received: Received, via: Via) -> None:
-        self.front, self.first = front, received.flow
-        self.host = received.host
-        self.port = received.port if "rport" in via.params else via.port
-        self.kind, self.reliable = received.flow.kind, received.flow.reliable
-        self.alive = self.was_up = True
-        self.spare: Flow | None = None
-
-    def send(self, message: Message) -> None:
-        if not self.reliable:
-            self.front.transports.to("UDP", self.host, self.port).send(message)
-        elif self.first.alive:
-            self.first.send(message)
-        else:
-            self.spare = self.front.transports.to("TCP", self.host, self.port)
-            self.spare.send(message)
-
-
-class SipFront:
+class SipFront(Endpoint):
     def __init__(self, config: SipConfig, settings: Settings, inbox: Inbox, seed: int) -> None:
-        self.config, self.set, self.inbox = config, settings, inbox
-        self.timing = config.timing
-        self.random = random.Random(seed)
-        self.loop = Loop()
-        self.transports = Transports(config.host, config.port, self.received, self.flow_ended)
+        super().__init__(config, seed)
+        self.set, self.inbox = settings, inbox
         self.hubs = {hub.name: hub for hub in config.hubs}
         self.used = {hub.name: 0 for hub in config.hubs}
-        self.servers: dict[str, ServerTransaction] = {}
-        self.clients: dict[str, ClientTransaction] = {}
         self.calls: dict[str, Call] = {}
         self.merged: dict[tuple[str, str, int], str] = {}
         self.early: dict[str, Call] = {}  # by the branch key of the INVITE
         self.dialogs: dict[tuple[str, str, str], Side] = {}
-        self.strays = 0
 
     def start(self, capture_in: str = "", capture_out: str = "") -> None:
         """With a capture, callers' messages also come from there, and the answers to those go to another."""
@@ -113,34 +77,13 @@
         for hub in self.config.hubs:
             self._count(hub, 0)
 
-    # --- what transactions need (Layer) ---
-
-    def at(self, deadline_ms: float, work: Work) -> None:
-        self.loop.at(deadline_ms, work)
-
-    def now(self) -> float:
-        return self.loop.now()
-
-    def over(self, transaction: Transaction) -> None:
-        if isinstance(transaction, ServerTransaction):
-            self.servers.pop(transaction.key, None)
-            call = self.early.pop(transaction.key, None)
-            if call is not None and call.caller_side is None:
-                self._forget(call)
-        else:
-            self.clients.pop(transaction.key, None)
+    def server_over(self, key: str) -> None:
+        call = self.early.pop(key, None)
+        if call is not None and call.caller_side is None:
+            self._forget(call)
 
     # --- from other threads ---
 
-    def received(self, received: Received) -> None:
-        if self.loop.room():
-            self.loop.post(lambda: self._received(received))
-        elif isinstance(received.flow, TcpFlow) and received.flow.link is not None:
-            received.flow.link.close()  # guards the memory: a stream can't lose one message
-
-    def flow_ended(self, flow: TcpFlow) -> None:
-        self.loop.post(lambda: self._flow_ended(flow))
-
     def set_up(self, attempt: Attempt) -> None:
         self.loop.post(lambda: self._set_up(attempt))
 
@@ -164,105 +107,7 @@
             side.unacked >= 0 for side in list(self.dialogs.values())
         )
 
-    # --- messages ---
-
-    def _tag(self) -> str:
-        return f"{self.random.getrandbits(48):012x}"
-
-    def _via(self, flow: Flow) -> str:
-        branch = f"{MAGIC}{self.random.getrandbits(64):016x}"
-        return f"SIP/2.0/{flow.kind} {self.config.host}:{self.config.port};branch={branch};rport"
-
-    def _contact(self, flow: Flow) -> tuple[str, str]:
-        suffix = ";transport=tcp" if flow.kind == "TCP" else ""
-        return "contact", f"<sip:landingdeal@{self.config.host}:{self.config.port}{suffix}>"
-
-    def _reply(
-        self, to: Message, status: int, *more: tuple[str, str], tag: str = "", body: bytes = b""
-    ) -> Message:
-        """A response; each but 100 gets a To tag (8.2.6.2)."""
-        made = response(to, status, *more, body=body)
-        if status == 100:
-            return made
-        headers = tuple(
-            (k, f"{v};tag={tag or self._tag()}" if k == "to" and ";tag=" not in v.lower() else v)
-            for k, v in made.headers
-        )
-        return replace(made, headers=headers)
-
-    def _received(self, received: Received) -> None:
-        message = received.message
-        if isinstance(message, Malformed):
-            self._malformed(received, message)
-        elif message.status:
-            self._response(message)
-        else:
-            self._request(received, message)
-
-    def _malformed(self, received: Received, malformed: Malformed) -> None:
-        message = malformed.message
-        if not message.status and message.method not in ("", "ACK"):
-            status = 505 if malformed.why == "version" else 400
-            reply = self._reply(message, status)
-            received.flow.send(replace(reply, reason=f"{reply.reason} ({malformed.why})"))
-
-    def _response(self, message: Message) -> None:
-        try:
-            branch = parse_via(split_top(message.get("via"), ",")[0]).branch
-        except BadAddress:
-            branch = ""
-        transaction = self.clients.get(f"{branch}|{message.cseq[1]}")
-        if transaction is None:
-            self.strays += 1  # late, or not ours
-        else:
-            transaction.received(message)
-
-    def _request(self, received: Received, message: Message) -> None:
-        try:
-            first, *others = split_top(message.get("via"), ",")
-            via = parse_via(first)
-            sender, target = parse_name_addr(message.get("from")), parse_name_addr(message.get("to"))
-            if not sender.uri or not target.uri or not sender.tag and via.branch.startswith(MAGIC):
-                raise BadAddress("From or To")
-            hops = message.get("max-forwards", "70").strip()
-            if not (hops.isascii() and hops.isdecimal() and int(hops) <= 255):
-                raise BadAddress("Max-Forwards")
-        except BadAddress as error:
-            self._malformed(received, Malformed(str(error), message))
-            return
-        marked = first.strip()
-        if via.host != received.host:
-            marked += f";received={received.host}"
-        if "rport" in via.params and not via.params["rport"]:
-            marked = marked.replace(";rport", f";rport={received.port}", 1)
-        top = ", ".join([marked, *(other.strip() for other in others)])
-        index = next(n for n, (k, _) in enumerate(message.headers) if k == "via")
-        headers = (*message.headers[:index], ("via", top), *message.headers[index + 1 :])
-        message = replace(message, headers=headers)
-        key = self._key(message, via, sender.tag)
-        flow = ReplyFlow(self, received, via)
-        if message.method == "ACK":
-            self._ack(message, key, received.flow)
-            return
-        known = self.servers.get(f"{key}|{message.method}")
-        if known is not None:
-            known.retransmitted()
-            return
-        if len(self.servers) >= TRANSACTIONS_MOST:
-            flow.send(self._reply(message, 503, ("retry-after", "2")))
-            return
-        transaction = ServerTransaction(self, flow, message, f"{key}|{message.method}")
-        self.servers[transaction.key] = transaction
-        self._new(transaction, key, target.tag, received.flow)
-
-    @staticmethod
-    def _key(message: Message, via: Via, from_tag: str) -> str:
-        """What makes requests one transaction (17.2.3); without the cookie, what RFC 2543 went by."""
-        if via.branch.startswith(MAGIC):
-            return f"{via.branch}|{via.host}:{via.port}"
-        return f"{message.call_id}|{from_tag}|{message.cseq[0]}|{via.host}:{via.port}|{message.uri}"
-
-    def _new(self, transaction: ServerTransaction, key: str, to_tag: str, flow: Flow) -> None:
+    def new_request(self, transaction: ServerTransaction, key: str, to_tag: str, flow: Flow) -> None:
         message = transaction.request
         required = message.get("require")
         if message.method not in ("INVITE", "CANCEL", "BYE", "OPTIONS"):
@@ -354,7 +199,7 @@
         call.server.respond(self._reply(call.server.request, 487, tag=call.tag))
         self.inbox.tell(Withdrawn(call.key, call.caller))
 
-    def _ack(self, message: Message, key: str, flow: Flow) -> None:
+    def new_ack(self, message: Message, key: str, flow: Flow) -> None:
         invite = self.servers.get(f"{key}|INVITE")
         if invite is not None and invite.state in (State.COMPLETED, State.CONFIRMED):
             invite.acknowledged()
@@ -453,15 +298,6 @@
         leg.counted = True
         self._count(hub, 1)
 
-    def _client(self, flow: Flow, made: Message, on_response: OnResponse) -> ClientTransaction:
-        branch = parse_via(made.get("via")).branch
-        transaction = ClientTransaction(self, flow, made, f"{branch}|{made.method}", on_response)
-        self.clients[transaction.key] = transaction
-        transaction.start()
-        if not flow.alive:
-            self.loop.post(transaction.failed)
-        return transaction
-
     def _answered(self, leg: Leg, message: Message) -> None:
         call = leg.call
         if message.status < 200:
@@ -597,20 +433,6 @@
             return known[0] if known else None
         return self.dialogs.get((message.call_id, local, remote))
 
-    def _flow_for(self, dialog: Dialog) -> Flow:
-        """TCP: the dialog's connection while it lives; else the next hop's address, always an IP address."""
-        if dialog.flow.reliable and dialog.flow.alive:
-            return dialog.flow
-        try:
-            uri = parse_uri(dialog.next_hop())
-        except BadAddress:
-            return dialog.flow
-        reliable = dialog.flow.reliable or uri.transport == "tcp"
-        flow = self.transports.to("TCP" if reliable else "UDP", uri.host, uri.port)
-        if reliable:
-            dialog.flow = flow
-        return flow
-
     def _within(self, transaction: ServerTransaction, to_tag: str, flow: Flow) -> None:
         message = transaction.request
         side = self._side(message, flow)
@@ -749,7 +571,7 @@
             if call.caller_side is not None or call.hub_side is not None:
                 self._drop_call(call, CAUSE_CUT, None)
 
-    def _flow_ended(self, flow: Flow) -> None:
+    def flow_lost(self, flow: Flow) -> None:
         """A connection closed, was reset, or never came up.
 
         What awaited a response on it has failed. A dialog belongs to no connection; but its peer may be gone,
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -78,10 +78,11 @@
         self.state = State.CALLING
         self.timing = layer.timing
 
-    def after(self, span: float, work: Callable[[], None]) -> None:
-        self.layer.at(self.layer.now() + span, work)
+    def within(self, interval: float) -> float:
+        """The deadline of a timer of RFC 3261 that starts now."""
+        return self.layer.now() + interval
 
-    def end_in(self, span: float) -> None:
+    def end_at(self, deadline_ms: float) -> None:
         """Timers D, H, I, J, K, L and M: nothing more is done but to absorb what still comes."""
         state = self.state
 
@@ -89,25 +90,27 @@
             if self.state is state:
                 self.terminate()
 
-        if span <= 0:
+        if deadline_ms <= self.layer.now():
             self.terminate()
         else:
-            self.after(span, due)
+            self.layer.at(deadline_ms, due)
 
     def terminate(self) -> None:
         if self.state is not State.TERMINATED:
             self.state = State.TERMINATED
             self.layer.over(self)
 
-    def repeat(self, span: float, most: float, while_in: tuple[State, ...], work: Callable[[], None]) -> None:
-        """Timers A, E and G: again after `span`, then after twice as long, up to `most`."""
+    def repeat(
+        self, interval: float, most: float, while_in: tuple[State, ...], work: Callable[[], None]
+    ) -> None:
+        """Timers A, E and G: again after `interval`, then after twice as long, up to `most`."""
 
         def due() -> None:
             if self.state in while_in:
                 work()
-                self.repeat(min(2 * span, most), most, while_in, work)
+                self.repeat(min(2 * interval, most), most, while_in, work)
 
-        self.after(span, due)
+        self.layer.at(self.within(interval), due)
 
 
 class ServerTransaction(Transaction):
@@ -139,22 +142,22 @@
             return True
         if not self.invite:
             self.state = State.COMPLETED
-            self.end_in(0 if self.flow.reliable else self.timing.b)  # timer J
+            self.end_at(self.within(0 if self.flow.reliable else self.timing.b))  # timer J
         elif message.status < 300:
             self.state = State.ACCEPTED
-            self.end_in(self.timing.b)  # timer L
+            self.end_at(self.within(self.timing.b))  # timer L
         else:
             self.state = State.COMPLETED
             if not self.flow.reliable:  # timer G
                 self.repeat(self.timing.t1, self.timing.t2, (State.COMPLETED,), self.retransmitted)
-            self.end_in(self.timing.b)  # timer H
+            self.end_at(self.within(self.timing.b))  # timer H
         return True
 
     def acknowledged(self) -> None:
         """The ACK of a final response that is no 2xx."""
         if self.invite and self.state is State.COMPLETED:
             self.state = State.CONFIRMED
-            self.end_in(0 if self.flow.reliable else self.timing.t4)  # timer I
+            self.end_at(self.within(0 if self.flow.reliable else self.timing.t4))  # timer I
 
 
 class ClientTransaction(Transaction):
@@ -176,7 +179,7 @@
             most = self.timing.b if self.invite else self.timing.t2
             states = (State.CALLING,) if self.invite else (State.CALLING, State.PROCEEDING)
             self.repeat(self.timing.t1, most, states, self._again)
-        self.after(self.timing.b, self._timed_out)  # timer B, or F
+        self.layer.at(self.within(self.timing.b), self._timed_out)  # timer B, or F
 
     def _again(self) -> None:
         if not self.abandoned:  # a set-up that was given up is not pressed on a hub any more
@@ -210,15 +213,15 @@
     def _final(self, message: Message) -> None:
         if not self.invite:
             self.state = State.COMPLETED
-            self.end_in(0 if self.flow.reliable else self.timing.t4)  # timer K
+            self.end_at(self.within(0 if self.flow.reliable else self.timing.t4))  # timer K
         elif message.status < 300:
             self.state = State.ACCEPTED
-            self.end_in(self.timing.b)  # timer M
+            self.end_at(self.within(self.timing.b))  # timer M
         else:
             self.state = State.COMPLETED
             self.ack = ack_of(self.request, message)
             self.flow.send(self.ack)
-            self.end_in(0 if self.flow.reliable else self.timing.b)  # timer D
+            self.end_at(self.within(0 if self.flow.reliable else self.timing.b))  # timer D
         self.on_response(message)
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import queue
@@ -51,6 +52,19 @@
 BODY = b"9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
 
 
+_ports = itertools.count(20000 + os.getpid() % 100 * 100)
+
+
+def free_port() -> int:
+    """For UDP and TCP, and below the range from which connections get their own ports: none can take it."""
+    for port in _ports:
+        with suppress(OSError), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            udp.bind(("127.0.0.1", port))
+            with socket.create_server(("127.0.0.1", port)):
+                return port
+    raise AssertionError("no port is free")
+
+
 class Wire(Protocol):
     """One connection, or one datagram socket with its peer."""
 
@@ -62,6 +76,7 @@
 class TcpWire:
     def __init__(self, sock: socket.socket, mailbox: Mailbox) -> None:
         self.sock = sock
+        mailbox.wires.append(self)  # before anything can come: a close must find it
         threading.Thread(target=self._read, args=(mailbox,), daemon=True).start()
 
     def _read(self, mailbox: Mailbox) -> None:
@@ -122,8 +137,7 @@
             threading.Thread(target=self._accept, args=(name, listener), daemon=True).start()
         self.offset = 1
         self.news: queue.Queue[str] = queue.Queue()
-        with socket.create_server(("127.0.0.1", 0)) as spare:
-            self.port = spare.getsockname()[1]
+        self.port = free_port()
         known = {"offset": 1, "batch": [self._event(True, "up", "hub0", "hub1", "hub2")]}
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -154,7 +168,6 @@
                     threading.Thread(target=self._bus, args=(sock,), daemon=True).start()
                     continue
                 wire = TcpWire(sock, self.boxes[name])
-                self.boxes[name].wires.append(wire)
                 with suppress(OSError):
                     wire.put(encode(request("NOTIFY", "sip:state@net", ("call-id", "1"), ("cseq", "1 NOTIFY"),
                                             ("x-state", "x0:40;x1:40"))))  # fmt: skip
@@ -204,7 +217,7 @@
     def _box(self, who: str) -> Mailbox:
         box = self.boxes.setdefault(who, Mailbox())
         if not box.wires and not who.startswith("hub"):
-            box.wires.append(TcpWire(socket.create_connection(("127.0.0.1", self.port)), box))
+            TcpWire(socket.create_connection(("127.0.0.1", self.port)), box)
         return box
 
     def _send(self, who: str, what: str, name: str, *more: str) -> None:
--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -25,7 +25,7 @@
 
 from landingdeal.sip.address import parse_name_addr
 from landingdeal.sip.message import Malformed, Message, decode_datagram, encode, request, response
-from tests.scenario import BODY, PATIENCE_S, ROOT, Mailbox, TcpWire, described
+from tests.scenario import BODY, PATIENCE_S, ROOT, Mailbox, TcpWire, described, free_port
 
 T1_MS = 50
 
@@ -73,7 +73,7 @@
         with suppress(OSError):
             while True:
                 sock, _ = self.sock.accept()
-                self.wires.append(TcpWire(sock, self))
+                TcpWire(sock, self)
 
     def came(self, wire: object, message: Message | Malformed | None) -> None:
         assert not isinstance(message, Malformed), message
@@ -110,11 +110,6 @@
     return f'[sip]\nenabled = true\nlisten = "127.0.0.1:{port}"\nt1_ms = {T1_MS}\n{extra}{rows}{settings}'
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as spare:
-        return int(spare.getsockname()[1])
-
-
 class SipStage:
     def __init__(
         self,
@@ -152,7 +147,7 @@
         if self.transport == "udp":
             return UdpWire(party.sock, ("127.0.0.1", self.port))
         if not party.wires:
-            party.wires.append(TcpWire(socket.create_connection(("127.0.0.1", self.port)), party))
+            TcpWire(socket.create_connection(("127.0.0.1", self.port)), party)
         wire = party.wires[-1]
         assert isinstance(wire, TcpWire)
         return wire
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -145,6 +145,9 @@
     for _ in range(INBOX_MOST):
         assert inbox.offer(offer)
     assert not inbox.offer(offer)
+    inbox = Inbox()
+    inbox.closed = True  # the core has ended
+    assert not inbox.offer(offer)
 
 
 def test_contracts_bound_classes_rate_and_calls_at_once() -> None:
--- a/tests/test_pcap.py
+++ b/tests/test_pcap.py
@@ -30,8 +30,8 @@
     Writer,
 )  # fmt: skip
 from landingdeal.sip.message import Framer, Message, encode, request
-from tests.scenario import BODY, PATIENCE_S, play
-from tests.scenario_sip import SipStage, free_port
+from tests.scenario import BODY, PATIENCE_S, free_port, play
+from tests.scenario_sip import SipStage
 
 V4 = ("10.0.0.1", 5060), ("10.0.0.2", 5070)
 V6 = ("2001:db8::1", 5060), ("2001:db8::2", 5070)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,15 +3,23 @@
 from __future__ import annotations
 
 import json
+import os
+import queue
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
 from badgerstile.wire import read_settings
+from landingdeal.clock import now_ms
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import HubDied
+from landingdeal.core.events import HubDied, Probed
+from landingdeal.net.bus import BusReader
+from landingdeal.net.config import TopologyEvent
 from landingdeal.net.hubs import Hub, Hubs
-from tests.scenario import SETTINGS, Platform, play
+from tests.scenario import ROOT, SETTINGS, Platform, play
 
 SCENARIOS = {
     "a call stands, its hub ends it, its caller is told": """
@@ -163,3 +171,70 @@
     for later in (2000, 6900, 7250, 7500, 9000):
         hubs.watch(last + later)
     assert [event for event in inbox.take(last)] == [HubDied(b"h", last + 7250)]
+
+
+def test_a_probe_without_an_answer_is_told_as_failed() -> None:
+    inbox = Inbox()
+    hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 50.0)
+    hubs.hubs[b"h"] = Hub(b"h", "127.0.0.1", 1)
+    hubs.probe(b"h", now_ms() + 250)
+    hubs.watch(now_ms() + 251)
+    (event,) = inbox.take(now_ms())
+    assert isinstance(event, Probed) and not event.well and 249 < event.latency_ms <= 250
+
+
+@pytest.mark.parametrize(
+    ("config", "operator", "line"),
+    [
+        ("{", "", "the configuration is not JSON"),
+        ("[]", "", "the configuration is not a JSON object"),
+        ('{"listen": "here"}', "", "listen is not an address"),
+        ('{"listen": "127.0.0.1:5060", "bus": "127.0.0.1:1"}', "", "the configuration lacks 'settings'"),
+        (None, "", "neither ROUTER_CONFIG nor an operator's file"),
+        (None, "=", "the operator's file is not TOML"),
+        (None, "[sip]\nenabled = true", "the operator's file lacks 'settings'"),
+        (None, "[sop]", "names what is not known: sop"),
+        (None, '[[contract]]\nteam = "a"\nclasses = []\nper_s = 0\nat_once = 1', "must be above 0"),
+    ],
+)
+def test_a_bad_file_ends_the_start_with_one_line(
+    config: str | None, operator: str, line: str, tmp_path: Path
+) -> None:
+    env = {key: value for key, value in os.environ.items() if key != "ROUTER_CONFIG"}
+    command = [sys.executable, "-m", "landingdeal"]
+    if config is not None:
+        (tmp_path / "c.json").write_text(config)
+        env["ROUTER_CONFIG"] = str(tmp_path / "c.json")
+    if operator:
+        (tmp_path / "o.toml").write_text(operator)
+        command += ["--operator", str(tmp_path / "o.toml")]
+    done = subprocess.run(command, cwd=ROOT, env=env, capture_output=True, text=True)
+    assert done.returncode == 2
+    assert line in done.stderr and done.stderr.count("\n") == 1
+
+
+EVENT = json.dumps({"offset": 7, "topology": {"snapshot": False, "endpoints": [
+    {"name": "s-1", "address": "127.0.0.1:9", "group": 1, "status": "draining"}]}})  # fmt: skip
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_the_event_bus_is_read_from_the_last_event_on(chunked: bool) -> None:
+    told: queue.Queue[TopologyEvent] = queue.Queue()
+    with socket.create_server(("127.0.0.1", 0)) as bus:
+        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, told.put)
+        reader.start()
+        for offset in (6, 7):  # the second time it has seen event 7, so that nothing is told again
+            sock, _ = bus.accept()
+            with sock:
+                assert f"Last-Event-ID: {offset}\r\n" in sock.recv(4096).decode()
+                body = f": hello\n\nid: 7\ndata: {EVENT}\n\n".encode()
+                if chunked:
+                    parts = body[:30], body[30:]
+                    body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+                how = "Transfer-Encoding: chunked\r\n" if chunked else ""
+                sock.sendall(f"HTTP/1.1 200 OK\r\n{how}\r\n".encode() + body)
+                if offset == 6:
+                    event = told.get(timeout=5)
+        reader.stopped = True
+    assert event.offset == 7 and event.addresses == ((b"s-1", "127.0.0.1:9", False),)
+    assert told.empty()
