Pass CANCEL of a re-INVITE on, and end what crossed it

Found by reading the SIP front against RFC 3261, each with a scenario on both transports: - CANCEL of a re-INVITE was answered 487 here while the other side was left ringing; it now goes on and the other side's final answer comes back. - A 2xx to a re-INVITE after the call was over got no ACK, and would have come again for 64 T1. - Subject is free text in SIP; one that names no class made the call fail, and now means the default class. - An answer that crossed the core's own giving up left a leg standing (SipFront._cancel returned early).

--- a/landingdeal/sip/call.py
+++ b/landingdeal/sip/call.py
@@ -69,6 +69,8 @@
     def __init__(self, call: Call, dialog: Dialog, caller: bool) -> None:
         self.call, self.dialog, self.caller = call, dialog, caller
         self.incoming: ServerTransaction | None = None  # a re-INVITE from here that is under way
+        self.forwarded: ClientTransaction | None = None  # the same, towards the other side
+        self.cancelled = False  # and its CANCEL, which waits for a provisional response
         self.unacked = -1  # number of the INVITE whose 2xx from us has no ACK yet
         self.bye_cause = -1  # a release that has to wait for that ACK
         self.ack: Message | None = None  # the last that we sent here
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -156,7 +156,7 @@
         offer = Offer(
             call=call.key,
             uri=message.uri,
-            class_name=message.get("subject") or self.config.default_class,
+            class_name=self._class_of(message),
             destination=number,
             deadline_ms=self.now() + patience,
             description=message.body,
@@ -170,10 +170,14 @@
         self.calls[call.key] = self.early[transaction.key] = call
         self.merged[call.merged_key] = call.key
 
+    def _class_of(self, message: Message) -> str:
+        """Subject is free text in SIP: it names a class, or the default counts."""
+        named = message.get("subject")
+        return named if any(kind.name == named for kind in self.set.classes) else self.config.default_class
+
     def _patience(self, message: Message) -> float:
         """How long the caller waits: X-Patience in ms, or Expires in s, within what the class allows."""
-        named = [c for c in self.set.classes if c.name == message.get("subject")] or list(self.set.classes)
-        most = named[0].deadline_ms
+        most = next(c.deadline_ms for c in self.set.classes if c.name == self._class_of(message))
         given = message.get("x-patience") or None
         seconds = message.get("expires") or None
         wanted = float(given) if given else float(seconds) * 1000 if seconds else most
@@ -190,9 +194,7 @@
         transaction.respond(self._reply(transaction.request, 200, tag=call.tag if call else ""))
         if call is not None and not invite.answered:
             self._withdraw(call)
-        elif (
-            call is None and not invite.answered
-        ):  # a re-INVITE: its final answer follows from the other side
+        elif call is None and not invite.answered:
             self._cancel_reinvite(invite)
 
     def _withdraw(self, call: Call) -> None:
@@ -341,7 +343,8 @@
             call, Dialog(transaction.request, message, transaction.flow, True), False
         )
         self.dialogs[side.dialog.key] = side
-        chosen = not leg.cancelled and call.hub_side is None and not call.server.answered
+        taken = call.hub_side is not None and not call.hub_side.dialog.over
+        chosen = not leg.cancelled and not taken and not call.server.answered
         if chosen and not call.server.request.body:
             side.ack = None  # the caller's ACK will bring the answer to the hub's offer
         else:
@@ -364,7 +367,11 @@
     def _cancel(self, attempt: Attempt) -> None:
         call = self.calls.get(attempt.offer.call)
         leg = call.legs.get(attempt.number) if call is not None else None
-        if leg is None or leg.cancelled or leg.sides or leg.transaction is None:
+        if leg is None or leg.cancelled or leg.transaction is None:
+            return
+        if leg.sides:  # guards against a call that stands for nobody: its answer crossed the core's giving up
+            for side in list(leg.sides.values()):
+                self._bye(side, 16)
             return
         leg.cancelled = leg.transaction.abandoned = True
         if not leg.transaction.flow.was_up:  # it never left
@@ -476,16 +483,24 @@
             "INVITE", self._via(flow), self._contact(flow), ALLOW, *content(message), body=message.body
         )
         other.dialog.invite_seq = made.cseq[0]
-        self._client(flow, made, lambda got: self._reinvited(side, transaction, got))
+        side.cancelled = False
+        side.forwarded = self._client(flow, made, lambda got: self._reinvited(side, transaction, got))
 
     def _reinvited(self, side: Side, transaction: ServerTransaction, got: Message) -> None:
         other, asked = side.other, transaction.request
-        if got.status < 200 or other is None:
+        if other is None:
+            return
+        if got.status < 200:
+            self._pass_cancel(side)
             return
         if got.status < 300:
-            if transaction.answered:  # its ACK got lost, or the call is over by now
+            if (
+                transaction.answered
+            ):  # its ACK got lost, or the call is over by now: acknowledged all the same
                 if other.ack is not None and other.ack.cseq[0] == other.dialog.invite_seq:
                     self._flow_for(other.dialog).send(other.ack)
+                elif other.dialog.over:
+                    self._acknowledge(other, None)
                 return
             other.dialog.refreshed(got)
             other.ack = None
@@ -503,11 +518,17 @@
             self._drop_call(side.call, CAUSE_CUT, other)
 
     def _cancel_reinvite(self, invite: ServerTransaction) -> None:
-        for side in self.dialogs.values():
+        """CANCEL goes on to the other side; the final answer is whatever comes back from there."""
+        for side in list(self.dialogs.values()):
             if side.incoming is invite:
-                side.incoming = None
-                invite.respond(self._reply(invite.request, 487))
-                return
+                side.cancelled = True
+                self._pass_cancel(side)
+
+    def _pass_cancel(self, side: Side) -> None:
+        forwarded = side.forwarded
+        if side.cancelled and forwarded is not None and forwarded.state is State.PROCEEDING:
+            side.cancelled = False
+            self._client(forwarded.flow, within(forwarded.request, "CANCEL"), lambda message: None)
 
     # --- the end of a call ---
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -121,8 +121,8 @@
         hub1 wait 300
         hub2 wait 10
     """,
-    "busy stays busy": """
-        caller send INVITE a
+    "busy stays busy, whatever its Subject": """
+        caller send INVITE a Subject:hello
         hub1 expect INVITE a
         hub1 send 486 a
         hub1 expect ACK a
@@ -158,6 +158,34 @@
         caller expect 200 a
         hub1 expect BYE a
     """,
+    "CANCEL of a re-INVITE goes on, and the call stands": STANDS + """
+        caller send INVITE a
+        hub1 expect INVITE a
+        hub1 send 180 a
+        caller send CANCEL a
+        caller expect 200 a
+        hub1 expect CANCEL a
+        hub1 send 200 a of=CANCEL
+        hub1 send 487 a
+        hub1 expect ACK a
+        caller expect 487 a
+        caller send ACK a
+        hub1 send BYE a
+        hub1 expect 200 a
+        caller expect BYE a
+    """,
+    "a re-INVITE answered after the call is over is acknowledged": STANDS + """
+        caller send INVITE a
+        hub1 expect INVITE a
+        hub1 send 180 a
+        caller send BYE a
+        caller expect 200 a
+        caller expect 487 a
+        hub1 expect BYE a
+        hub1 send 200 a of=BYE
+        hub1 send 200 a of=INVITE
+        hub1 expect ACK a
+    """,
     "re-INVITEs that cross: 491": STANDS + """
         caller send INVITE a
         hub1 expect INVITE a
