Do not take our own close of a connection for the death of a lab hub

The log showed each batch right after this program had closed the quiet spare connection itself ('is silent; a new one is tried', 250 ms later 'ended (reset)', 'is gone: 3 calls'). At fault: Link._read took any error for a reset by the peer, also after our own shutdown. The test fails without the change. Also: the SIP front never looks up a name (a Contact or a hub that is no IP address), and a capture of very many callers is bounded.

--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -97,7 +97,9 @@
         except BrokenFraming as error:
             say(f"a connection is closed: {error}")
         except OSError:
-            reset = True
+            # guards against taking our own close for the death of the peer: what is still under way from
+            # there then comes back as a reset too, and its standing calls would be thrown away
+            reset = self.alive
         self.close()
         self.on_end(self, reset)
         with contextlib.suppress(queue.Full):  # full: the writer is at work, and its next send fails
--- a/landingdeal/operator.py
+++ b/landingdeal/operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 import tomllib
 from dataclasses import dataclass
@@ -57,6 +58,16 @@
         raise ConfigError(f"the operator's file holds a value that can't be used: {error}") from None
 
 
+def ip_address(text: Any, what: str) -> tuple[str, int]:
+    """No name: nothing here may wait for a look-up."""
+    host, port = address(text, what)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ConfigError(f"{what} is not an IPv4 address: {text!r}") from None
+    return host, port
+
+
 def _contract(row: dict[str, Any]) -> Contract:
     made = Contract(
         str(row["team"]),
@@ -70,13 +81,13 @@
 
 
 def _sip(sip: dict[str, Any], settings: Settings) -> SipConfig:
-    host, port = address(sip["listen"], "sip.listen")
+    host, port = ip_address(sip["listen"], "sip.listen")
     hubs = []
     for row in sip["hub"]:
         transport = str(row.get("transport", "udp")).upper()
         if transport not in ("UDP", "TCP"):
             raise ConfigError(f"sip.hub {row['name']}: transport is udp or tcp, not {transport.lower()}")
-        where = address(row["address"], f"sip.hub {row['name']}")
+        where = ip_address(row["address"], f"sip.hub {row['name']}")
         name = str(row["name"]).encode()
         hubs.append(
             HubPlace(name, int(row["number"]), transport, *where, circuits=int(row.get("circuits", 0)))
--- a/landingdeal/sip/capture.py
+++ b/landingdeal/sip/capture.py
@@ -12,7 +12,7 @@
 
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.log import say
-from landingdeal.pcap import TCP, UDP, NotPcap, Reader, Reassembly, Writer
+from landingdeal.pcap import STREAMS_MOST, TCP, UDP, NotPcap, Reader, Reassembly, Writer
 from landingdeal.sip.message import BrokenFraming, Framer, Malformed, Message, decode_datagram, encode
 from landingdeal.sip.transport import Received
 
@@ -73,6 +73,10 @@
                 if flow is None:
                     flow = CaptureFlow(self.sink, packet.protocol, packet.target, packet.source)
                     flows[key] = flow
+                    while len(flows) > STREAMS_MOST:  # guards the memory against a capture of very many
+                        oldest = next(iter(flows))
+                        del flows[oldest]
+                        framers.pop(oldest, None)
                 messages: list[Message | Malformed] = []
                 if packet.protocol == UDP and packet.payload.strip(b"\r\n\0"):
                     messages.append(decode_datagram(packet.payload))
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -211,7 +212,8 @@
             return dialog.flow
         try:
             uri = parse_uri(dialog.next_hop())
-        except BadAddress:
+            ipaddress.IPv4Address(uri.host)  # guards this thread against the look-up of a name
+        except (BadAddress, ValueError):
             return dialog.flow
         reliable = dialog.flow.reliable or uri.transport == "tcp"
         flow = self.transports.to("TCP" if reliable else "UDP", uri.host, uri.port)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,6 +6,7 @@
 import os
 import queue
 import socket
+import struct
 import subprocess
 import sys
 from pathlib import Path
@@ -19,6 +20,7 @@
 from landingdeal.net.bus import BusReader
 from landingdeal.net.config import TopologyEvent
 from landingdeal.net.hubs import Hub, Hubs
+from landingdeal.net.link import Link
 from tests.scenario import ROOT, SETTINGS, Platform, play
 
 SCENARIOS = {
@@ -183,6 +185,9 @@
     assert isinstance(event, Probed) and not event.well and 249 < event.latency_ms <= 250
 
 
+SIP = (ROOT / "deploy/operator.toml").read_text()
+
+
 @pytest.mark.parametrize(
     ("config", "operator", "line"),
     [
@@ -193,6 +198,8 @@
         (None, "", "neither ROUTER_CONFIG nor an operator's file"),
         (None, "=", "the operator's file is not TOML"),
         (None, "[sip]\nenabled = true", "the operator's file lacks 'settings'"),
+        (None, SIP.replace("127.0.0.1:5071", "hub.example:5071"), "sip.hub addis-1 is not an IPv4 address"),
+        (None, SIP.replace("hub = 2", "hub = 9"), "leads to 9, which no lab hub has"),
         (None, "[sop]", "names what is not known: sop"),
         (None, '[[contract]]\nteam = "a"\nclasses = []\nper_s = 0\nat_once = 1', "must be above 0"),
     ],
@@ -238,3 +245,19 @@
         reader.stopped = True
     assert event.offset == 7 and event.addresses == ((b"s-1", "127.0.0.1:9", False),)
     assert told.empty()
+
+
+@pytest.mark.parametrize(("ours", "reset"), [(True, False), (False, True)])
+def test_only_the_peer_can_reset_a_link(ours: bool, reset: bool) -> None:
+    ended: queue.Queue[bool] = queue.Queue()
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        near = socket.create_connection(server.getsockname())
+        far, _ = server.accept()
+        link = Link(near, lambda on, message: None, lambda on, was_reset: ended.put(was_reset))
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if ours:
+            link.close()
+            far.close()  # answers our close with a reset
+        link.start()
+        far.close()
+        assert ended.get(timeout=5) is reset
