--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -40,7 +40,7 @@
         self.waiting: list[Attempt] = []
         self.releases: list[str] = []  # to be told once there is a connection
         self.probes: dict[str, Probing] = {}
-        self.gone = False
+        self.gone = self.kept = False  # kept: its keeper runs
         self.heard_ms = self.connected_ms = now_ms()
         self.written_off = False  # its calls have been released for its silence
         self.wake = threading.Condition()
@@ -63,16 +63,21 @@
         host, _, port = address.rpartition(":")
         with self.lock:
             hub = self.hubs.get(name)
-            if hub is None or hub.gone and not gone and not hub.open:
+            if hub is None:
+                if len(self.hubs) >= HUBS_MOST:
+                    self.hubs = {n: h for n, h in self.hubs.items() if not h.gone or h.open}
                 if gone or len(self.hubs) >= HUBS_MOST:
                     return
                 hub = self.hubs[name] = Hub(name, host, int(port))
-                start_thread("keeper", lambda: self._keep(hub))
         with hub.wake:
             if address:
                 hub.host, hub.port = host, int(port)
             hub.gone = gone
+            # guards against a lab hub that is back and has no keeper, for which set-ups would wait in vain
+            keep, hub.kept = not gone and not hub.kept, hub.kept or not gone
             hub.wake.notify()
+        if keep:
+            start_thread("keeper", lambda: self._keep(hub))
 
     def start(self) -> None:
         def watch() -> None:
@@ -126,7 +131,7 @@
                 while hub.link is not None and hub.link.alive:
                     hub.wake.wait()
                 if hub.gone:
-                    hub.link = None
+                    hub.link, hub.kept = None, False
                     waiting, hub.waiting = hub.waiting, []
                     break
             until = now_ms() + self.dial_ms
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
 import struct
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -175,6 +176,27 @@
     assert [event for event in inbox.take(last)] == [HubDied(b"h", last + 7250)]
 
 
+def test_a_hub_that_was_gone_is_connected_to_again_whatever_is_left_of_it() -> None:
+    hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), Inbox(), "127.0.0.1:1", 500.0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.settimeout(5)
+        where = f"127.0.0.1:{server.getsockname()[1]}"
+        hubs.known(b"h", where, False)
+        silent, _ = server.accept()
+        hub, until = hubs.hubs[b"h"], now_ms() + 5000
+        while hub.link is None and now_ms() < until:
+            time.sleep(0.01)
+        hubs.known(b"h", where, True)
+        hubs.watch(hub.heard_ms + 2600)  # silent by now: its connection is in doubt, and still open
+        while hub.kept and now_ms() < until:
+            time.sleep(0.01)
+        assert hub.open and not hub.kept
+        hubs.known(b"h", where, False)
+        again, _ = server.accept()
+        for sock in (silent, again):
+            sock.close()
+
+
 def test_a_probe_without_an_answer_is_told_as_failed() -> None:
     inbox = Inbox()
     hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 50.0)
