Test contracts on the platform's front, and a peer that does not read

Two more cases that start the program: an operator's file with contracts and the SIP front enabled (the contracts hold, the front stays off), and a connection that asks and never reads (it is cut off, other callers are served).

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -128,7 +128,7 @@
 class Platform:
     """The program as the platform starts it, with lab hubs 0 to 2 and the event bus as stand-ins."""
 
-    def __init__(self, folder: Path, settings: dict[str, Any] | None = None) -> None:
+    def __init__(self, folder: Path, operator: str = "") -> None:
         self.boxes: dict[str, Mailbox] = {}
         self.listeners = {f"hub{n}": socket.create_server(("127.0.0.1", 0)) for n in range(3)}
         self.listeners["bus"] = socket.create_server(("127.0.0.1", 0))
@@ -141,11 +141,12 @@
         known = {"offset": 1, "batch": [self._event(True, "up", "hub0", "hub1", "hub2")]}
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                  "bus": self._address("bus"), "known": known, "settings": settings or SETTINGS}  # fmt: skip
+                  "bus": self._address("bus"), "known": known, "settings": SETTINGS}  # fmt: skip
         path = folder / "config.json"
         path.write_text(json.dumps(config))
+        (folder / "operator.toml").write_text(operator)
         self.program = subprocess.Popen(
-            [sys.executable, "-m", "landingdeal"],
+            [sys.executable, "-m", "landingdeal", "--operator", str(folder / "operator.toml")],
             cwd=ROOT,
             stderr=subprocess.PIPE,
             env={**os.environ, "ROUTER_CONFIG": str(path)},
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -166,6 +167,53 @@
     assert "Traceback" not in log, log
 
 
+SIP = (ROOT / "deploy/operator.toml").read_text()
+CONTRACT = '[[contract]]\nteam = "payments"\nclasses = ["voice"]\nper_s = 0.01\nat_once = 1\n'
+
+
+def test_contracts_hold_on_the_platform_and_the_sip_front_stays_off(tmp_path: Path) -> None:
+    stage = Platform(tmp_path, CONTRACT + SIP)
+    try:
+        play(stage, """
+            caller send INVITE a Organization:payments
+            hub1 expect INVITE a
+            caller send INVITE b Organization:payments
+            caller expect 503 b X-Later-Ms:
+            caller send INVITE c Organization:payments class=data
+            caller expect 403 c
+            caller send INVITE d Organization:others
+            caller expect 403 d
+            hub1 send 200 a
+            caller expect 200 a
+        """)  # fmt: skip
+    finally:
+        log = stage.end()
+    assert "SIP front" not in log
+
+
+def test_a_peer_that_does_not_read_is_cut_off_and_stalls_nobody(tmp_path: Path) -> None:
+    stage = Platform(tmp_path)
+    try:
+        stage.line("front", "send", "OPTIONS", "first")
+        stage.line("front", "expect", "200", "first")
+        with socket.create_connection(("127.0.0.1", stage.port)) as deaf:
+            deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            asked = f"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nVia: {'x' * 8000}\r\n"
+            with suppress(OSError):  # it is cut off while it still sends
+                for _ in range(20000):
+                    deaf.sendall(f"{asked}Content-Length: 0\r\n\r\n".encode())
+                raise AssertionError("it was never cut off")
+        play(stage, """
+            caller send INVITE a
+            hub1 expect INVITE a
+            hub1 send 200 a
+            caller expect 200 a
+        """)  # fmt: skip
+    finally:
+        log = stage.end()
+    assert "does not read" in log
+
+
 def test_a_silent_hub_is_written_off_once_before_eight_seconds() -> None:
     inbox = Inbox()
     hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 50.0)
@@ -207,9 +255,6 @@
     assert isinstance(event, Probed) and not event.well and 249 < event.latency_ms <= 250
 
 
-SIP = (ROOT / "deploy/operator.toml").read_text()
-
-
 @pytest.mark.parametrize(
     ("config", "operator", "line"),
     [
