--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -143,12 +143,10 @@
     # --- the loop ---
 
     def run(self) -> None:
-        while not (self.stopping and not self.open and now_ms() >= self.stop_ms and self.inbox.closed):
+        while not self.inbox.closed or not self.inbox.empty() or self.open:
             self.turn()
             if self.stopping and not self.open and now_ms() >= self.stop_ms:
                 self.inbox.closed = True  # from here on the front refuses; what had come in is still answered
-                while not self.inbox.empty() or self.open:
-                    self.turn()
 
     def turn(self) -> None:
         """One batch: all of it happens at one time, as the decision module expects."""
@@ -249,11 +247,11 @@
     def _withdrawn(self, event: Withdrawn) -> None:
         exchange = self.open.get(event.call)
         if exchange is None:
-            self._caller_released(event.call, crossed=True)
+            self._caller_released(event.call)
         elif exchange.offer.caller is event.caller and exchange.withdraw():
-            self._drop(exchange, cancel=True)
+            self._drop(exchange)
 
-    def _caller_released(self, call: str, crossed: bool = False) -> None:
+    def _caller_released(self, call: str) -> None:
         standing = self.standing.pop(call, None)
         if standing is None:
             return
@@ -267,14 +265,14 @@
         if exchange is None or self.now < exchange.deadline_ms - LAST_MOMENT_MS:
             return
         if exchange.refuse(self._come_back(), exchange.why):
-            self._drop(exchange, cancel=True)
+            self._drop(exchange)
 
-    def _drop(self, exchange: Exchange, cancel: bool) -> None:
+    def _drop(self, exchange: Exchange) -> None:
         """The call is over for its caller: an attempt still out is called off."""
         attempt = exchange.attempt
         self._forget(exchange)
         self._module(CallerLeft(exchange.number))
-        if attempt is not None and cancel:
+        if attempt is not None:
             self.hubs.cancel(attempt)
             self._module(
                 AttemptEnded(exchange.number, attempt.hub, attempt.number, Ending.CANCELLED, True,
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -11,6 +11,7 @@
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import CallerReleased, Offer, Why, Withdrawn
 from landingdeal.net.link import Link, serve
+from landingdeal.sip.headers import ALLOW, reason_header
 from landingdeal.sip.message import Malformed, Message, request, response
 
 LINKS_PART = 0.4  # of the descriptors: callers hold a third at most; above this a connection is closed
@@ -55,7 +56,7 @@
     def __init__(self, settings: Settings, inbox: Inbox, host: str, port: int, sockets: int) -> None:
         self.inbox = inbox
         self.via = f"SIP/2.0/TCP {host}:{port}"
-        self.later = str(int(settings.max_retry_advice_ms or 1000.0))
+        self.later_ms = settings.max_retry_advice_ms or 1000.0
         self.links_most = int(sockets * LINKS_PART)
         self.lock = threading.Lock()
         self.links: dict[Link, dict[str, Caller]] = {}  # and the set-ups open on each
@@ -118,7 +119,7 @@
             case "ACK":
                 pass
             case _:
-                link.send(response(message, 405, ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")))
+                link.send(response(message, 405, ALLOW))
 
     def _invite(self, link: Link, message: Message) -> None:
         came = now_ms()
@@ -152,8 +153,7 @@
             if link in self.links:
                 self.links[link][message.call_id] = caller
         if not self.inbox.offer(offer):  # guards against a caller left unanswered by a full inbox
-            self.closed_set_up(link, message.call_id)
-            link.send(response(message, 503, ("x-later-ms", self.later)))
+            caller.refuse(self.later_ms, Why.TURNED_AWAY)
 
     def closed_set_up(self, link: Link, call: str) -> None:
         with self.lock:
@@ -172,5 +172,5 @@
                 return
             self.told.append((now_ms(), call, cause, first))
         bye = request("BYE", "sip:caller@net", ("via", self.via), ("call-id", call), ("cseq", "2 BYE"),
-                      ("reason", f"Q.850;cause={cause}"))  # fmt: skip
+                      reason_header(cause))  # fmt: skip
         first.send(bye)
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -12,7 +12,7 @@
 from landingdeal.core.events import Attempt, Ended, GroupState, HubDied, HubReleased, Probed, Stood
 from landingdeal.log import say
 from landingdeal.net.link import Link, dial, start_thread
-from landingdeal.sip.headers import cause_of, figures_of, reason_of
+from landingdeal.sip.headers import cause_of, figures_of, reason_header, reason_of
 from landingdeal.sip.message import Malformed, Message, request, response
 
 QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
@@ -25,7 +25,6 @@
 
 @dataclass(frozen=True, slots=True)
 class Probing:
-    hub: bytes
     sent_ms: float
     deadline_ms: float
 
@@ -259,7 +258,7 @@
 
     def _bye(self, call: str) -> Message:
         return request("BYE", "sip:hub@net", self.via, ("call-id", call), ("cseq", "2 BYE"),
-                       ("reason", "Q.850;cause=16"))  # fmt: skip
+                       reason_header(16))  # fmt: skip
 
     def release(self, name: bytes, call: str) -> None:
         hub = self._hub(name)
@@ -281,7 +280,7 @@
             now = now_ms()
             self.probe_number += 1
             key = f"{self.probe_number:016x}"
-            hub.probes[key] = Probing(name, now, deadline_ms)
+            hub.probes[key] = Probing(now, deadline_ms)
             link = hub.link
         if link is not None:
             link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", key), ("cseq", "1 OPTIONS")))
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -66,13 +66,6 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
-    def finish(self) -> None:
-        """Close once all that was queued has been written."""
-        try:
-            self.waiting.put_nowait(None)
-        except queue.Full:
-            self.close()
-
     def _write(self) -> None:
         while True:
             data = self.waiting.get()
--- a/landingdeal/sip/dialog.py
+++ b/landingdeal/sip/dialog.py
@@ -11,7 +11,7 @@
     """One leg of a call; `client` where we sent the INVITE that made it."""
 
     def __init__(self, invite: Message, final: Message, flow: Flow, client: bool) -> None:
-        self.client, self.flow = client, flow
+        self.flow = flow
         self.call_id = invite.call_id
         mine, theirs = ("from", "to") if client else ("to", "from")
         self.local, self.remote = final.get(mine), final.get(theirs)
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -10,7 +10,16 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from landingdeal.sip.address import MAGIC, BadAddress, Via, parse_name_addr, parse_uri, parse_via, split_top
+from landingdeal.sip.address import (
+    MAGIC,
+    BadAddress,
+    Via,
+    parse_name_addr,
+    parse_uri,
+    parse_via,
+    split_top,
+    top_via,
+)
 from landingdeal.sip.call import SipConfig
 from landingdeal.sip.dialog import Dialog
 from landingdeal.sip.loop import Loop, Work
@@ -141,7 +150,7 @@
 
     def _response(self, message: Message) -> None:
         try:
-            branch = parse_via(split_top(message.get("via"), ",")[0]).branch
+            branch = top_via(message.all("via")).branch
         except BadAddress:
             branch = ""
         transaction = self.clients.get(f"{branch}|{message.cseq[1]}")
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -30,7 +30,7 @@
 from landingdeal.sip.capture import Capture, CaptureFlow, CaptureWriter
 from landingdeal.sip.dialog import Dialog
 from landingdeal.sip.endpoint import Endpoint, ReplyFlow
-from landingdeal.sip.headers import cause_of, figures_of, reason_of
+from landingdeal.sip.headers import ALLOW, cause_of, figures_of, reason_header, reason_of
 from landingdeal.sip.message import Message, request, response
 from landingdeal.sip.transaction import (
     Flow,
@@ -40,7 +40,6 @@
 )
 
 CALLS_MOST = 4000
-ALLOW = ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
 STATUS = {Why.BUSY: 486, Why.TIMED_OUT: 408, Why.FAILED: 500, Why.FORBIDDEN: 403}
 ENDINGS = {
     408: Ending.TIMED_OUT, 480: Ending.TURNED_BACK, 487: Ending.CANCELLED, 503: Ending.TURNED_BACK,
@@ -61,7 +60,7 @@
         self.hubs = {hub.name: hub for hub in config.hubs}
         self.used = {hub.name: 0 for hub in config.hubs}
         self.calls: dict[str, Call] = {}
-        self.merged: dict[tuple[str, str, int], str] = {}
+        self.merged: set[tuple[str, str, int]] = set()
         self.early: dict[str, Call] = {}  # by the branch key of the INVITE
         self.dialogs: dict[tuple[str, str, str], Side] = {}
 
@@ -168,7 +167,7 @@
             transaction.respond(self._reply(message, 503, ("retry-after", "2"), tag=call.tag))
             return
         self.calls[call.key] = self.early[transaction.key] = call
-        self.merged[call.merged_key] = call.key
+        self.merged.add(call.merged_key)
 
     def _class_of(self, message: Message) -> str:
         """Subject is free text in SIP: it names a class, or the default counts."""
@@ -542,7 +541,7 @@
             self._acknowledge(side, None)
         self._close(side)
         flow = self._flow_for(side.dialog)
-        made = side.dialog.make("BYE", self._via(flow), ("reason", f"Q.850;cause={cause}"))
+        made = side.dialog.make("BYE", self._via(flow), reason_header(cause))
         self._client(flow, made, lambda message: None)
 
     def _close(self, side: Side) -> None:
@@ -564,7 +563,7 @@
         pending = not call.server.answered or any(not side.dialog.over for side in sides)
         if not pending:
             self.calls.pop(call.key, None)
-            self.merged.pop(call.merged_key, None)
+            self.merged.discard(call.merged_key)
 
     def _drop_call(self, call: Call, cause: int, gone: Side | None) -> None:
         """Ends both legs; `gone` is the one that ended it, or can't be reached. The core is told once."""
--- a/landingdeal/sip/headers.py
+++ b/landingdeal/sip/headers.py
@@ -15,6 +15,7 @@
     "inflight": Figure.IN_WORK, "concurrent": Figure.IN_WORK,
     "eps": Figure.HOLD_BACK, "hold_back": Figure.HOLD_BACK,
 }  # fmt: skip
+ALLOW = ("allow", "INVITE, ACK, CANCEL, BYE, OPTIONS")
 NOTES = {
     "nc": Reason.NO_CIRCUIT, "tb": Reason.TANDEM, "fovl": Reason.TANDEM_FAR_FULL,
     "ovl": Reason.PROCESSOR_FULL, "busy": Reason.LINES_BUSY,
@@ -28,6 +29,10 @@
     return int(digits) if digits.isascii() and digits.isdecimal() and len(digits) < 4 else 16
 
 
+def reason_header(cause: int) -> tuple[str, str]:
+    return "reason", f"Q.850;cause={cause}"
+
+
 def reason_of(message: Message) -> Reason:
     return NOTES.get(message.get("x-note").strip(), Reason.NONE)
 
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -53,7 +53,6 @@
 
     def __init__(self, host: str, port: int) -> None:
         self.host, self.port = host, port
-        self.name = f"TCP {host}:{port}"
         self.lock = threading.Lock()
         self.link: Link | None = None
         self.held: list[Message] = []
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -114,15 +114,31 @@
             self.wires.remove(wire)
         self.inbox.put((wire, message))
 
+    def close(self, reset: bool) -> None:
+        for wire in list(self.wires):
+            wire.close(reset)
+        self.wires.clear()
+
 
 def call_id(name: str) -> str:
     return name.encode().hex().rjust(16, "0")
 
 
-def described(want: str, message: Message | None) -> bool:
+def check(
+    who: str, what: str, name: str, known: str, message: Message | None, wanted: tuple[str, ...]
+) -> None:
+    """A message, or the end of a connection, is what a line expects; `known` is the Call-ID of `name`."""
+    told = f"{who}: wanted {what} {name} {' '.join(wanted)}, got {message}"
     if message is None:
-        return want == "end"
-    return want == (str(message.status) if message.status else message.method)
+        assert what == "end", told
+        return
+    assert what == (str(message.status) if message.status else message.method), told
+    assert not name or message.call_id == known, told
+    for header in wanted:
+        key, _, value = header.partition(":")
+        assert message.get(key.lower()).startswith(value), told
+    if what == "INVITE" or what == "200" and message.cseq[1] == "INVITE":
+        assert message.body == BODY, told
 
 
 class Platform:
@@ -245,15 +261,7 @@
 
     def _expect(self, who: str, what: str, name: str = "", *more: str) -> None:
         _, message = self._box(who).inbox.get(timeout=PATIENCE_S)
-        assert described(what, message), f"{who}: wanted {what} {name}, got {message}"
-        if message is None:
-            return
-        assert not name or message.call_id == call_id(name), f"{who}: wanted {what} {name}, got {message}"
-        for wanted in more:
-            key, _, value = wanted.partition(":")
-            assert message.get(key.lower()).startswith(value), f"{who}: wanted {wanted}, got {message}"
-        if what == "INVITE" or what == "200" and message.cseq[1] == "INVITE":
-            assert message.body == BODY
+        check(who, what, name, call_id(name), message, more)
 
     def _wait(self, who: str, span_ms: str) -> None:
         until = time.monotonic() + int(span_ms) / 1000
@@ -262,14 +270,11 @@
                 got = self._box(who).inbox.get(timeout=max(until - time.monotonic(), 0))[1]
                 assert got is None, f"{who}: nothing was due, got {got}"
 
-    def _close(self, who: str, reset: bool = False) -> None:
-        box = self.boxes[who]
-        for wire in list(box.wires):
-            wire.close(reset)
-        box.wires.clear()
+    def _close(self, who: str) -> None:
+        self.boxes[who].close(False)
 
     def _reset(self, who: str) -> None:
-        self._close(who, True)
+        self.boxes[who].close(True)
 
     def end(self) -> str:
         """Ends what was started; the program's log."""
--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -25,7 +25,7 @@
 
 from landingdeal.sip.address import parse_name_addr
 from landingdeal.sip.message import Malformed, Message, decode_datagram, encode, request, response
-from tests.scenario import BODY, PATIENCE_S, ROOT, Mailbox, TcpWire, described, free_port
+from tests.scenario import BODY, PATIENCE_S, ROOT, Mailbox, TcpWire, check, free_port
 
 T1_MS = 50
 
@@ -224,17 +224,8 @@
                 continue  # connections come and go
             if message is None or not (100 <= message.status < 200 and what != str(message.status)):
                 break
-        assert described(what, message), f"{party.name}: wanted {what} {name}, got {message}"
-        if message is None:
-            return
-        if name:
-            known = party.names.setdefault(name, message.call_id)
-            assert message.call_id == known, f"{party.name}: wanted {what} {name}, got {message}"
-        for wanted in more:
-            key, _, value = wanted.partition(":")
-            assert message.get(key.lower()).startswith(value), f"{party.name}: wanted {wanted}, got {message}"
-        if what == "INVITE" or what == "200" and message.cseq[1] == "INVITE":
-            assert message.body == BODY
+        known = party.names.setdefault(name, message.call_id) if name and message is not None else ""
+        check(party.name, what, name, known, message, more)
 
     def _repeats(self, party: Party, count: str) -> None:
         until = time.monotonic() + PATIENCE_S
@@ -249,20 +240,18 @@
                 got = party.inbox.get(timeout=max(until - time.monotonic(), 0))[1]
                 assert got is None or 100 <= got.status < 200, f"{party.name}: nothing was due, got {got}"
 
-    def _close(self, party: Party, reset: bool = False) -> None:
-        for wire in list(party.wires):
-            wire.close(reset)
-        party.wires.clear()
+    def _close(self, party: Party) -> None:
+        party.close(False)
 
     def _reset(self, party: Party) -> None:
-        self._close(party, True)
+        party.close(True)
 
     def _gone(self, party: Party) -> None:
         """No longer reachable at its address either."""
         with suppress(OSError):
             party.sock.shutdown(socket.SHUT_RDWR)
         party.sock.close()
-        self._close(party, True)
+        party.close(True)
 
     def end(self) -> str:
         for party in self.parties.values():
