Answer nobody under the id of another's open call, and refuse figures out of range

Cause: Broker._offered gave the call to whoever sent its id last ('again.offer = offer'). A set-up is taken over now only if it is the same and its first connection has ended; a withdrawal counts only from where the call came. Callers read figures with int(float()), clamped width to 1 and took any dest, each of which stayed in the module's table of rates: they are plain decimal numbers in range now, ids are hex, and a dest that no hub had is refused. Two set-ups under one id on a connection: the second gets 400. A description without its end is refused. One flaky SIP scenario waits for its ACK to be read now (a hub's INVITE could overtake it on another connection).

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -130,6 +130,7 @@
         self.guard = Guard(settings)
         self.kinds = {kind.name: index for index, kind in enumerate(settings.classes)}
         self.numbers = itertools.count(1)
+        self.listed: set[int] = set()  # numbers that a lab hub has or had
         self.open: dict[str, Exchange] = {}
         self.by_number: dict[int, Exchange] = {}
         self.standing: dict[str, Standing] = {}
@@ -197,6 +198,7 @@
                 self._heard(hub, figures)
                 self._module(Report(hub, True, well, latency, figures))
             case News(change):
+                self.listed.update(entry.number for entry in change.entries)
                 self.guard.news(change, self.now)
                 self._module(change)
             case Budgets(contracts):
@@ -214,14 +216,18 @@
 
     def _offered(self, offer: Offer) -> None:
         again = self.open.get(offer.call)
-        if again is not None:  # sent again on a new connection, its first one closed: the answer goes there
-            again.offer = offer
+        if again is not None and offer.same_call(again.offer) and not again.offer.caller.reachable():
+            again.offer = offer  # sent again on a new connection, its first one closed: the answer goes there
             return
         exchange = Exchange(offer, next(self.numbers))
+        if again is not None or offer.call in self.standing:
+            # guards against whoever uses the id of another's call: it would be told that call's answer
+            exchange.refuse(0.0, Why.FAILED)
+            return
         kind = self.kinds.get(offer.class_name)
         team_later = self.contracts.admit(offer.team, offer.class_name, offer.call, self.now)
-        if kind is None:
-            exchange.refuse(0.0, Why.FAILED)
+        if kind is None or offer.destination not in self.listed:
+            exchange.refuse(0.0, Why.FAILED)  # guards the module's tables against numbers that no hub had
         elif team_later > 0:
             exchange.refuse(team_later)
         elif team_later < 0:
@@ -248,11 +254,13 @@
         )
 
     def _withdrawn(self, event: Withdrawn) -> None:
-        exchange = self.open.get(event.call)
-        if exchange is None:
-            self._caller_released(event.call)
-        elif exchange.offer.caller is event.caller and exchange.withdraw():
-            self._drop(exchange)
+        # guards against whoever gives up a set-up under the id of another's call
+        exchange, standing = self.open.get(event.call), self.standing.get(event.call)
+        if exchange is not None:
+            if exchange.offer.caller.origin is event.caller.origin and exchange.withdraw():
+                self._drop(exchange)
+        elif standing is not None and standing.offer.caller.origin is event.caller.origin:
+            self._caller_released(event.call)  # it crossed the answer
 
     def _caller_released(self, call: str) -> None:
         standing = self.standing.pop(call, None)
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -23,6 +23,15 @@
 class CallerSide(Protocol):
     """Server side: where the final answer of one call goes. None of its functions blocks."""
 
+    @property
+    def origin(self) -> object:
+        """What it came on: only from there can the set-up be given up."""
+        ...
+
+    def reachable(self) -> bool:
+        """Whether an answer given now would leave: its connection has not ended."""
+        ...
+
     def answer(self, description: bytes) -> None: ...
 
     def refuse(self, come_back_ms: float, why: Why) -> None: ...
@@ -61,6 +70,12 @@
     again_after_cut: bool = False
     team: str = ""
 
+    def same_call(self, other: Offer) -> bool:
+        """The same set-up come again, and not another one under its id."""
+        return (self.uri, self.class_name, self.facts, self.description) == (
+            other.uri, other.class_name, other.facts, other.description
+        )  # fmt: skip
+
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -21,16 +21,45 @@
 SETTLE_MS = 1000.0  # a release whose connection closes so soon after it is sent again on another
 
 
+NUMBER_MOST = 0xFFFF  # of lab hubs
+WIDTH_MOST = 255
+RANGES = {"dest": (0, NUMBER_MOST), "width": (1, WIDTH_MOST), "via": (-1, NUMBER_MOST), "transit": (0, 1),
+          "again": (0, 1)}  # fmt: skip
+HEX = frozenset("0123456789abcdefABCDEF")
+
+
+def whole(text: str) -> int:
+    """A plain decimal number; int() would also take `1_0`, other scripts' digits and a thousand of them."""
+    digits = text.removeprefix("-")
+    if not (digits.isascii() and digits.isdecimal() and len(digits) <= 9):
+        raise ValueError(f"no number: {text[:20]!r}")
+    return int(text)
+
+
+def decimal(text: str) -> float:
+    main, _, part = text.partition(".")
+    return whole(main) + (whole(part) / 10.0 ** len(part) if part else 0.0)
+
+
 def facts_of(text: str) -> dict[str, int]:
-    """`dest:2;width:1;via:-1` as numbers; raises ValueError on what is none."""
-    found = {}
+    """`dest:2;width:1;via:-1` as numbers; raises ValueError on what is none or out of range."""
+    found: dict[str, int] = {}
     for part in text.split(";"):
         if part.strip():
-            name, _, value = part.partition(":")
-            found[name.strip()] = int(float(value))
+            name, _, value = (word.strip() for word in part.partition(":"))
+            low, high = RANGES.get(name, (-999999999, 999999999))
+            if name in found or not low <= whole(value) <= high:
+                raise ValueError(f"{name[:20]} is out of range or told twice")
+            found[name] = whole(value)
     return found
 
 
+def hex_digits(text: str, most: int = 16) -> str:
+    if not 0 < len(text) <= most or not HEX.issuperset(text):
+        raise ValueError("no hex digits")
+    return text
+
+
 class Caller:
     """Where one call's answer goes: the connection it came on, and its set-up to answer to."""
 
@@ -39,6 +68,13 @@
     def __init__(self, front: Callers, link: Link, invite: Message) -> None:
         self.front, self.link, self.invite = front, link, invite
 
+    @property
+    def origin(self) -> object:
+        return self.link
+
+    def reachable(self) -> bool:
+        return self.link.alive
+
     def answer(self, description: bytes) -> None:
         self.front.closed_set_up(self.link, self.invite.call_id)
         self.link.send(response(self.invite, 200, body=description))
@@ -57,6 +93,7 @@
         self.inbox = inbox
         self.via = f"SIP/2.0/TCP {host}:{port}"
         self.later_ms = settings.max_retry_advice_ms or 1000.0
+        self.patience_most = 2 * max(kind.deadline_ms for kind in settings.classes)
         self.links_most = int(sockets * LINKS_PART)
         self.lock = threading.Lock()
         self.links: dict[Link, dict[str, Caller]] = {}  # and the set-ups open on each
@@ -106,10 +143,7 @@
             case "CANCEL":
                 with self.lock:
                     caller = self.links.get(link, {}).pop(message.call_id, None)
-                if caller is not None:
-                    self.inbox.tell(Withdrawn(message.call_id, caller))
-                else:
-                    self.inbox.tell(CallerReleased(message.call_id))
+                self.inbox.tell(Withdrawn(message.call_id, caller or Caller(self, link, message)))
             case "BYE":
                 link.send(response(message, 200))
                 self.inbox.tell(CallerReleased(message.call_id))
@@ -125,11 +159,15 @@
         came = now_ms()
         try:
             facts = facts_of(message.get("x-facts"))
-            patience = float(message.get("x-patience"))
-            number = message.uri.removeprefix("sip:").partition("@")[0]
+            patience = decimal(message.get("x-patience"))
+            number = hex_digits(message.uri.removeprefix("sip:").partition("@")[0])
+            if not 0 < patience <= self.patience_most:
+                raise ValueError("patience")
+            if not message.body.endswith(b"\r\n"):  # its length was wrong, or there is none
+                raise ValueError("description")
             caller = Caller(self, link, message)
             offer = Offer(
-                call=message.call_id,
+                call=hex_digits(message.call_id),
                 uri=message.uri,
                 class_name=message.get("subject"),
                 destination=facts["dest"],
@@ -138,20 +176,23 @@
                 caller=caller,
                 facts=message.get("x-facts"),
                 key=int(number, 16),
-                width=max(facts.get("width", 1), 1),
+                width=facts.get("width", 1),
                 advised=facts.get("via", -1),
                 in_transit=bool(facts.get("transit", 0)),
                 again_after_cut=bool(facts.get("again", 0)),
                 team=message.get("organization"),
             )
-            if not 0 < patience < 1e7:
-                raise ValueError("patience")
-        except (ValueError, KeyError, OverflowError):
+        except (ValueError, KeyError):
             link.send(response(message, 400))
             return
         with self.lock:
-            if link in self.links:
-                self.links[link][message.call_id] = caller
+            open_here = self.links.get(link, {})
+            twice = message.call_id in open_here  # its answer could not be told from the other's
+            if not twice:
+                open_here[message.call_id] = caller
+        if twice:
+            link.send(response(message, 400))
+            return
         if not self.inbox.offer(offer):  # guards against a caller left unanswered by a full inbox
             caller.refuse(self.later_ms, Why.TURNED_AWAY)
 
--- a/landingdeal/sip/call.py
+++ b/landingdeal/sip/call.py
@@ -53,6 +53,13 @@
     def __init__(self, front: Front, call: Call) -> None:
         self.front, self.call = front, call
 
+    @property
+    def origin(self) -> object:
+        return self.call
+
+    def reachable(self) -> bool:
+        return True  # each call of this front has an id of its own, and its answer finds a connection
+
     def answer(self, description: bytes) -> None:
         self.front.loop.post(lambda: self.front.answer_call(self.call, description))
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -32,8 +32,16 @@
 
 
 class Caller:
-    def __init__(self) -> None:
+    def __init__(self, there: bool = True) -> None:
         self.told: list[object] = []
+        self.there = there
+
+    @property
+    def origin(self) -> object:
+        return self
+
+    def reachable(self) -> bool:
+        return self.there
 
     def answer(self, description: bytes) -> None:
         self.told.append(description)
@@ -117,6 +125,37 @@
     assert stage.hubs.done == ["cancel", "release"]
 
 
+@pytest.mark.parametrize("there", [True, False])
+def test_a_call_is_taken_over_only_if_its_first_connection_is_gone(there: bool) -> None:
+    stage = Stage()
+    stage.caller = Caller(there)
+    first, second = stage.offer(), Caller()
+    stage.give(replace(first, caller=second))
+    stage.give(Stood(stage.hubs.sent[0], b"theirs"))
+    assert len(stage.hubs.sent) == 1
+    answered: list[object] = [b"theirs"]
+    assert second.told == ([Why.FAILED] if there else answered)
+    assert stage.caller.told == (answered if there else [])
+
+
+def test_another_set_up_under_the_id_of_an_open_or_standing_call_is_refused_and_can_not_end_it() -> None:
+    stage, thief = Stage(), Caller()
+    stage.caller = Caller(there=False)
+    other = replace(stage.offer(), caller=thief, description=b"another")
+    stage.give(other, Withdrawn("a", thief))
+    stage.give(Stood(stage.hubs.sent[0], b"theirs"))
+    stage.give(other, Withdrawn("a", thief))
+    assert thief.told == [Why.FAILED, Why.FAILED]
+    assert stage.caller.told == [b"theirs"] and stage.hubs.done == [] and "a" in stage.broker.standing
+
+
+def test_a_number_that_no_hub_ever_had_is_refused_and_leaves_nothing_behind() -> None:
+    stage = Stage()
+    stage.give(Offer("a", "sip:a@net", "voice", 99, now_ms() + 4000, b"body", stage.caller))
+    assert stage.caller.told == [Why.FAILED]
+    assert not stage.broker.switch.rates and not stage.broker.open
+
+
 def test_an_exception_in_the_module_leaves_no_caller_unanswered(capsys: pytest.CaptureFixture[str]) -> None:
     stage = Stage()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
 
@@ -142,6 +143,22 @@
         caller send PUBLISH b
         caller expect 405 b
     """,
+    "the id of an open call serves nobody else, nor ends that call": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        caller2 send INVITE a dest=2
+        caller2 expect 500 a
+        caller send INVITE a dest=1
+        caller expect 400 a
+        caller2 send CANCEL a
+        hub1 wait 100
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a
+        caller2 send CANCEL a
+        caller2 close
+        hub1 wait 200
+    """,
     "a new configuration: the event bus elsewhere goes on with its numbers, and no call is dropped": """
         caller send INVITE a dest=1
         hub1 expect INVITE a
@@ -186,6 +203,29 @@
     assert "Traceback" not in log, log
 
 
+@pytest.mark.parametrize(
+    "figures",
+    [
+        "dest=-3", "dest=70000", "dest=nan", "dest=1e0", "dest=1_0", "dest=", "width=0", "width=999",
+        "via=-2", "transit=2", "patience=-5", "patience=nan", "patience=0", "patience=" + "9" * 23,
+        "patience=1e3", "dest=\u0661", "x=" + "9" * 5000,
+    ],
+)  # fmt: skip
+def test_figures_out_of_range_are_refused_and_reach_no_hub(figures: str, running: Platform) -> None:
+    play(running, f"""
+        caller send INVITE bad {figures}
+        caller expect 400 bad
+        hub1 wait 20
+    """)  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Platform]:
+    stage = Platform(tmp_path_factory.mktemp("running"))
+    yield stage
+    assert "Traceback" not in stage.end()
+
+
 SIP = (ROOT / "deploy/operator.toml").read_text()
 CONTRACT = '[[contract]]\nteam = "payments"\nclasses = ["voice"]\nper_s = 0.01\nat_once = 1\n'
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -148,6 +148,8 @@
         hub1 expect ACK a CSeq:2
         caller expect 200 a CSeq:2
         caller send ACK a
+        caller send OPTIONS b
+        caller expect 200 b
         hub1 send INVITE a
         caller expect INVITE a
         caller send 488 a
