End a connection with its first spoilt answer, and cut no standing call on a reset

Ruled out: the network's delays (median to the first attempt 0.2 ms). At fault: Hubs._message said 400 to what it could not read and kept the connection, on which nothing more could come; _ended took each reset for the death of the lab hub and released all calls there; _final answered a second copy with BYE, which released a good call. And a set-up lost with its connection was told to the module as cut, so that it took a healthy hub for dead and then for newly started, at one call at a time and a cold pace for 14 s. Now a spoilt or unfinished answer closes its connection, set-ups there are told as given up and go out again after 300 ms; a hub is dead when the next connect is refused, or when the list names a later start; only an answer that crossed our own CANCEL is released, all others under unknown ids are ignored. Callers: a first whole message within 2 s and each message whole within 2 s, by SO_RCVTIMEO; 60 MB are refused and read without being kept; past two fifths of the descriptors, or after 8 s, the idlest connections are closed; the table of told releases no longer holds ended connections. A writer stuck for 3 s ends its connection (the test of the deaf peer could hang in the kernel; it uses a socket pair now).

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -201,6 +201,9 @@
                 self.listed.update(entry.number for entry in change.entries)
                 self.guard.news(change, self.now)
                 self._module(change)
+                for entry in change.entries:  # what stood before its process started is over
+                    if entry.came_up_ms > 0:
+                        self._hub_died(entry.exchange, entry.came_up_ms)
             case Budgets(contracts):
                 self.contracts.replace(contracts, self.now)
             case Stop():
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -129,7 +129,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HubDied:
-    """The lab hub's connection was reset or it is silent: calls set up before that moment are cut."""
+    """The lab hub's process has died or it is silent: calls set up before that moment are cut."""
 
     hub: bytes
     before_ms: float
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -10,11 +10,15 @@
 from landingdeal.clock import now_ms
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import CallerReleased, Offer, Why, Withdrawn
-from landingdeal.net.link import Link, serve
+from landingdeal.net.link import CallerLink, Link, serve
 from landingdeal.sip.headers import ALLOW, reason_header
-from landingdeal.sip.message import Malformed, Message, request, response
+from landingdeal.sip.message import TOO_LARGE, Malformed, Message, request, response
 
-LINKS_PART = 0.4  # of the descriptors: callers hold a third at most; above this a connection is closed
+LINKS_PART = 0.4  # of the descriptors: callers hold a third at most; above this the idlest is closed
+BURST_PART = 0.6  # and above this, while those are being closed, whoever comes
+IDLE_MS = 8000.0  # a usual caller closes after 4 s without a call: this one only holds its connection
+KEPT = 4  # so many of the idle are kept all the same: a release may need one
+SWEEP_MS = 500.0
 UNHEARD_MOST = 2000  # releases that no caller was there to hear
 UNHEARD_MS = 15000.0  # so long such a release is kept
 STATUS = {Why.FAILED: 500, Why.FORBIDDEN: 403}  # all others: 503, trying again is harmless
@@ -94,7 +98,8 @@
         self.via = f"SIP/2.0/TCP {host}:{port}"
         self.later_ms = settings.max_retry_advice_ms or 1000.0
         self.patience_most = 2 * max(kind.deadline_ms for kind in settings.classes)
-        self.links_most = int(sockets * LINKS_PART)
+        self.links_most, self.links_limit = int(sockets * LINKS_PART), int(sockets * BURST_PART)
+        self.swept_ms = now_ms()
         self.lock = threading.Lock()
         self.links: dict[Link, dict[str, Caller]] = {}  # and the set-ups open on each
         self.unheard: OrderedDict[str, tuple[float, int]] = OrderedDict()
@@ -109,31 +114,52 @@
 
     def _accepted(self, sock: socket.socket) -> None:
         with self.lock:
-            if len(self.links) >= self.links_most:
+            if len(self.links) >= self.links_limit:
                 sock.close()
                 return
-            link = Link(sock, self._message, self._ended)
+            link = CallerLink(sock, self._message, self._ended)
             self.links[link] = {}
+            spare = self._spare()
             unheard = [(call, at, cause) for call, (at, cause) in self.unheard.items()]
             self.unheard.clear()
         link.start()
+        for idle in spare:
+            idle.close()
         for call, at, cause in unheard:
             if now_ms() - at < UNHEARD_MS:
                 self.release(call, cause, link)
 
+    def _spare(self) -> list[Link]:
+        """Guards descriptors and usual callers against those who ask once, or never, and hold on."""
+        now = now_ms()
+        crowded = sum(link.alive for link in self.links) - self.links_most
+        if crowded <= 0 and now < self.swept_ms + SWEEP_MS:
+            return []
+        self.swept_ms = now
+        idle = [link for link, open_here in self.links.items() if link.alive and not open_here]
+        idle.sort(key=lambda link: link.heard_ms)
+        old = [link for link in idle[:-KEPT] if now - link.heard_ms > IDLE_MS]
+        return old if len(old) >= crowded else idle[: max(crowded, 0)]
+
     def _ended(self, link: Link, reset: bool) -> None:
         with self.lock:
             open_here = self.links.pop(link, {})
             again = [(c, k) for at, c, k, to in self.told if to is link and now_ms() - at < SETTLE_MS]
+            self._settled()
         for call, caller in open_here.items():
             self.inbox.tell(Withdrawn(call, caller))
         for call, cause in again:  # guards against a release written into a connection just being closed
             self.release(call, cause, link)
 
+    def _settled(self) -> None:
+        """Guards the memory: each entry holds a connection that may have ended long ago."""
+        while self.told and now_ms() - self.told[0][0] >= SETTLE_MS:
+            self.told.popleft()
+
     def _message(self, link: Link, message: Message | Malformed) -> None:
         if isinstance(message, Malformed):
             if not message.message.status and message.message.method != "ACK":
-                link.send(response(message.message, 400))
+                link.send(response(message.message, 413 if message.why == TOO_LARGE else 400))
             return
         if message.status:
             return  # a release that was heard
@@ -212,6 +238,7 @@
                     self.unheard.popitem(last=False)
                 return
             self.told.append((now_ms(), call, cause, first))
+            self._settled()
         bye = request("BYE", "sip:caller@net", ("via", self.via), ("call-id", call), ("cseq", "2 BYE"),
                       reason_header(cause))  # fmt: skip
         first.send(bye)
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -11,18 +11,24 @@
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, Ended, GroupState, HubDied, HubReleased, Probed, Stood
 from landingdeal.log import say
-from landingdeal.net.link import Link, dial, start_thread
+from landingdeal.net.link import HubLink, Link, dial, start_thread
 from landingdeal.sip.headers import cause_of, figures_of, reason_header, reason_of
-from landingdeal.sip.message import Malformed, Message, request, response
+from landingdeal.sip.message import BrokenFraming, Malformed, Message, request, response
 
 QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
 SILENT_MS = 7000.0  # and after so long in vain its calls are over: callers must hear within 8 s of an end
 WATCH_MS = 250.0
 REDIAL_MS = 250.0  # after a failed connect
+GIVEN_UP_MOST = 256  # set-ups called off on one connection whose answer may still cross that
 HUBS_MOST = 64  # lab hubs of which connections are kept
 ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CUT, 408: Ending.TIMED_OUT}
 
 
+def is_description(body: bytes) -> bool:
+    """Lines of text, the last one whole: noise and what was cut off are not passed on as good."""
+    return body.endswith(b"\r\n") and all(32 <= char < 127 or char in b"\t\r\n" for char in body)
+
+
 @dataclass(frozen=True, slots=True)
 class Probing:
     sent_ms: float
@@ -34,13 +40,14 @@
 
     def __init__(self, name: bytes, host: str, port: int) -> None:
         self.name, self.host, self.port = name, host, port
-        self.link: Link | None = None
-        self.open: dict[Link, dict[str, Attempt]] = {}
+        self.link: HubLink | None = None
+        self.open: dict[HubLink, dict[str, Attempt]] = {}
         self.waiting: list[Attempt] = []
         self.releases: list[str] = []  # to be told once there is a connection
         self.probes: dict[str, Probing] = {}
         self.gone = self.kept = False  # kept: its keeper runs
         self.heard_ms = self.connected_ms = now_ms()
+        self.refused, self.reset_ms = 0, 0.0  # connects refused in a row; when its connection was reset
         self.written_off = False  # its calls have been released for its silence
         self.wake = threading.Condition()
 
@@ -141,19 +148,29 @@
                 say(f"no connection to {hub.name!r}: {error}")
                 with hub.wake:
                     now = now_ms()
+                    hub.refused = hub.refused + 1 if refused else 0
+                    died = hub.reset_ms if hub.refused == 1 else now if hub.refused == 2 else 0.0
+                    hub.reset_ms = 0.0 if refused else hub.reset_ms
                     lost = [a for a in hub.waiting if refused or now >= a.sent_ms + self.dial_ms - 1]
                     hub.waiting = [a for a in hub.waiting if a not in lost]
                 for attempt in lost:
                     self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
+                if died:
+                    # a connection that was reset proves nothing: peers reset idle ones too, and their calls
+                    # stand. Where the next is refused, or two are, nobody is there any more to hold them
+                    self.inbox.tell(HubDied(hub.name, died))
                 with hub.wake:
                     if not hub.gone and not hub.waiting:
                         hub.wake.wait(seconds_until(now_ms() + REDIAL_MS))
                 continue
-            link = Link(sock, lambda on, m: self._message(hub, on, m), lambda on, r: self._ended(hub, on, r))
+            link = HubLink(
+                sock, lambda on, m: self._message(hub, on, m), lambda on, r: self._ended(hub, on, r)
+            )
             with hub.wake:
                 hub.link = link
                 hub.open[link] = {}
                 hub.connected_ms = now_ms()
+                hub.refused, hub.reset_ms = 0, 0.0
                 self._heard(hub)
                 waiting, hub.waiting = hub.waiting, []
                 releases, hub.releases = hub.releases, []
@@ -167,7 +184,7 @@
         for attempt in waiting:
             self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
 
-    def _ended(self, hub: Hub, link: Link, reset: bool) -> None:
+    def _ended(self, hub: Hub, link: HubLink, reset: bool) -> None:
         with hub.wake:
             cut = list(hub.open.pop(link, {}).values())
             before = now_ms()
@@ -176,12 +193,14 @@
             elif hub.link is not None:
                 before = hub.connected_ms  # what was set up on the new connection stands
             hub.wake.notify()
+            if reset:
+                hub.reset_ms = max(hub.reset_ms, before)
         how = "reset" if reset else "closed"
         say(f"connection to {hub.name!r} ended ({how}, {len(cut)} set-ups open)")
         for attempt in cut:
-            self.inbox.tell(Ended(attempt, Ending.CUT))
-        if reset:  # its process has died, and with it all calls that stood there
-            self.inbox.tell(HubDied(hub.name, before))
+            # given up with its connection, which proves nothing of its lab hub: one that is gone refuses the
+            # next. Guards against trying a healthy hub one call at a time, and pacing it as if newly started
+            self.inbox.tell(Ended(attempt, Ending.CANCELLED))
 
     def _doubt(self, hub: Hub) -> None:
         """A silent connection may be dead: a new one is tried, and set-ups wait for that.
@@ -212,7 +231,7 @@
         if not self._send(hub, link, attempt):
             self.inbox.soon(Ended(attempt, Ending.UNREACHABLE))
 
-    def _send(self, hub: Hub, link: Link, attempt: Attempt) -> bool:
+    def _send(self, hub: Hub, link: HubLink, attempt: Attempt) -> bool:
         """False: it did not go out, and nothing else will tell of its end."""
         left = int(attempt.deadline_ms - now_ms())
         offer = attempt.offer
@@ -249,6 +268,9 @@
             )
             if link is not None:
                 del hub.open[link][attempt.offer.call]
+                link.given_up[attempt.offer.call] = None
+                if len(link.given_up) > GIVEN_UP_MOST:
+                    link.given_up.pop(next(iter(link.given_up)))
             waited = now_ms() - attempt.sent_ms > self.dial_ms  # a caller may call off at once
             if hub.link is not None and waited and hub.link.heard_ms < attempt.sent_ms:
                 self._doubt(hub)
@@ -287,13 +309,11 @@
 
     # --- what lab hubs say ---
 
-    def _message(self, hub: Hub, link: Link, message: Message | Malformed) -> None:
+    def _message(self, hub: Hub, link: HubLink, message: Message | Malformed) -> None:
         self._heard(hub)
         if isinstance(message, Malformed):
-            say(f"a lab hub sent what is not SIP: {message.why}")
-            if message.message.method not in ("", "ACK"):
-                link.send(response(message.message, 400))
-            return
+            # guards against waiting for answers on a connection that a spoilt one has made useless
+            raise BrokenFraming(f"{hub.name!r} sent what is not SIP: {message.why}")
         if message.status:
             method = message.cseq[1]
             if method == "INVITE" and message.status >= 200:
@@ -315,10 +335,19 @@
             case _:
                 pass
 
-    def _final(self, hub: Hub, link: Link, message: Message) -> None:
+    def _final(self, hub: Hub, link: HubLink, message: Message) -> None:
         call = message.call_id
         with hub.wake:
             attempt = hub.open.get(link, {}).pop(call, None)
+            given_up = attempt is None and call in link.given_up
+            link.given_up.pop(call, None)
+        if attempt is None and not given_up:
+            return  # a second copy, or of an id that is not ours: what stands is not touched by it
+        if message.status < 300 and not is_description(message.body):
+            if attempt is not None:
+                with hub.wake:  # it ends with its connection
+                    hub.open.setdefault(link, {})[call] = attempt
+            raise BrokenFraming(f"{hub.name!r} sent what is no description")
         link.send(request("ACK", attempt.offer.uri if attempt else "sip:hub@net", self.via, ("call-id", call),
                           ("cseq", f"{message.cseq[0]} ACK")))  # fmt: skip
         if attempt is None:
--- a/landingdeal/sip/message.py
+++ b/landingdeal/sip/message.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 MAX_MESSAGE = 16 * 1024
+TOO_LARGE = "over 16 KiB"
 COMPACT = {
     "v": "via", "f": "from", "t": "to", "i": "call-id", "m": "contact", "l": "content-length",
     "s": "subject", "c": "content-type", "k": "supported", "e": "content-encoding",
@@ -25,6 +26,14 @@
     """Where the next message begins can't be told any more: the connection has to end."""
 
 
+class Oversize(BrokenFraming):
+    """A message over 16 KiB whose end is known: `rest` bytes of it are still to come."""
+
+    def __init__(self, malformed: Malformed, rest: int) -> None:
+        super().__init__("a message over 16 KiB")
+        self.malformed, self.rest = malformed, rest
+
+
 @dataclass(frozen=True, slots=True)
 class Message:
     """A request has a method and a URI, a response a status. Header names are kept in lower case."""
@@ -178,7 +187,9 @@
                 raise BrokenFraming("no usable Content-Length")
             total = end + 4 + length
             if total > MAX_MESSAGE:
-                raise BrokenFraming("a message over 16 KiB")
+                built = _build(head, headers, wrong, b"")
+                message = built.message if isinstance(built, Malformed) else built
+                raise Oversize(Malformed(TOO_LARGE, message), total - len(self.held))
             if len(self.held) < total:
                 return
             body, self.held = self.held[end + 4 : total], self.held[total:]
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,7 +5,8 @@
     hub1 send 200 a                       a response to the last request of that call seen there
     caller expect 503 a X-Later-Ms:2000   a header whose value begins so
     hub1 wait 300                         no message arrives there for so many milliseconds
-    hub1 close                            also `reset`, and `open` for a caller's next connection
+    hub1 close                            also `reset`, `dies` with its listener, and `open` for a
+                                          caller's next connection
     bus tell hub1 removed                 the event bus has news; `bus2` is one that a new file names
     program stop                          SIGTERM; `program ends 0` waits for its exit code
     program reload bus2                   a new configuration and SIGHUP; `program says x` waits for its log
@@ -28,7 +29,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -232,7 +233,7 @@
         else:
             verbs: dict[str, Callable[..., None]] = {
                 "send": self._send, "expect": self._expect, "wait": self._wait, "close": self._close,
-                "reset": self._reset, "raw": self._raw,
+                "reset": self._reset, "raw": self._raw, "dies": self._dies,
             }  # fmt: skip
             verbs[verb](who, *words)
 
@@ -261,7 +262,11 @@
         box, call = self._box(who), call_id(name)
         headers = [(k.lower(), v) for k, v in (m.split(":", 1) for m in more if ":" in m)]
         if what.isdecimal():
-            wire, asked = box.requests[call]
+            of = [m.split("=")[1] for m in more if m.startswith("of=")]
+            wire, asked = box.requests[call_id(of[0]) if of else call]
+            if of:  # an answer under an id that is not that of its request
+                renamed = tuple((k, call if k == "call-id" else v) for k, v in asked.headers)
+                asked = replace(asked, headers=renamed)
             wire.put(encode(response(asked, int(what), *headers, body=BODY if what == "200" else b"")))
             return
         figures = {"dest": "1", "width": "1", "via": "-1", **dict(m.split("=") for m in more if ":" not in m)}
@@ -296,6 +301,12 @@
     def _reset(self, who: str) -> None:
         self.boxes[who].close(True)
 
+    def _dies(self, who: str) -> None:
+        """Its process ends: nobody listens there any more, and its connections are reset."""
+        self.listeners[who].shutdown(socket.SHUT_RDWR)
+        self.listeners[who].close()
+        self._reset(who)
+
     def end(self) -> str:
         """Ends what was started; the program's log."""
         for listener in self.listeners.values():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,10 +21,12 @@
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import HubDied, Probed
 from landingdeal.net.bus import BusReader
+from landingdeal.net.callers import Callers
 from landingdeal.net.config import TopologyEvent
 from landingdeal.net.hubs import Hub, Hubs
-from landingdeal.net.link import Link
-from tests.scenario import ROOT, SETTINGS, Platform, play
+from landingdeal.net.link import QUEUE_MOST, CallerLink, Link
+from landingdeal.sip.message import request
+from tests.scenario import ROOT, SETTINGS, Platform, free_port, play
 
 SCENARIOS = {
     "a call stands, its hub ends it, its caller is told": """
@@ -100,9 +102,54 @@
         hub1 expect INVITE a
         hub1 send 200 a
         caller expect 200 a
-        hub1 reset
+        hub1 dies
         caller expect BYE a Reason:Q.850;cause=41
     """,
+    "a connection that is reset cuts no call that stands, and the set-up under way goes out again": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a
+        caller send INVITE b dest=1
+        hub1 expect INVITE b
+        hub1 reset
+        hub1 expect end
+        hub1 expect INVITE b
+        hub1 send 200 b
+        caller expect 200 b
+        hub1 expect ACK b
+        hub1 send BYE a Reason:Q.850;cause=16
+        caller expect BYE a Reason:Q.850;cause=16
+    """,
+    "a second copy and an answer nobody asked for change nothing": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 send 200 x of=a
+        hub1 send 503 x of=a
+        hub1 send 200 a
+        hub1 expect ACK a
+        hub1 send 200 a
+        caller expect 200 a
+        hub1 wait 200
+        caller wait 20
+        caller send BYE a
+        caller expect 200 a
+        hub1 expect BYE a
+    """,
+    "a spoilt answer ends its connection, and the other set-up there goes out again at once": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        caller send INVITE b dest=1
+        hub1 expect INVITE b
+        hub1 raw {spoilt}
+        hub1 expect end
+        hub1 expect INVITE
+        hub1 expect INVITE
+        hub1 send 200 b
+        hub1 expect ACK b
+        caller expect 200 b
+    """,
     "news that a hub is gone is late: its connection and its calls live on": """
         caller send INVITE a dest=1
         hub1 expect INVITE a
@@ -193,11 +240,30 @@
 }
 
 
-@pytest.mark.parametrize("name", SCENARIOS)
+ANSWER = "SIP/2.0\\x20200\\x20OK\\r\\nCall-ID:\\x200000000000000061\\r\\nCSeq:\\x201\\x20INVITE\\r\\n"
+SPOILT = {
+    "noise": "\\x01\\x02\\r\\n\\r\\n",
+    "no header": ANSWER + "no\\x20colon\\r\\nContent-Length:\\x202\\r\\n\\r\\n\\r\\n",
+    "version": ANSWER.replace("2.0", "9.9", 1) + "Content-Length:\\x202\\r\\n\\r\\n\\r\\n",
+    "3 GB": ANSWER + "Content-Length:\\x203000000000\\r\\n\\r\\nAAAA",
+    "no description": ANSWER + "Content-Length:\\x204\\r\\n\\r\\n\\x01\\x02\\r\\n",
+    "cut off": ANSWER,
+    "a short body": ANSWER + "Content-Length:\\x2071\\r\\n\\r\\n9d41c07a5be2f318\\r\\n",
+}
+PLAYS = {
+    f"{name} {kind}".strip(): text.replace("{spoilt}", spoilt)
+    for name, text in SCENARIOS.items()
+    for kind, spoilt in (SPOILT.items() if "{spoilt}" in text else [("", "")])
+}
+
+
+@pytest.mark.parametrize("name", PLAYS)
 def test_platform(name: str, tmp_path: Path) -> None:
     stage = Platform(tmp_path)
     try:
-        play(stage, SCENARIOS[name])
+        play(stage, PLAYS[name])
+    except AssertionError as error:
+        raise AssertionError(f"{error}; the program said: {stage.end()}") from None
     finally:
         log = stage.end()
     assert "Traceback" not in log, log
@@ -250,27 +316,80 @@
     assert "SIP front" not in log
 
 
-def test_a_peer_that_does_not_read_is_cut_off_and_stalls_nobody(tmp_path: Path) -> None:
-    stage = Platform(tmp_path)
-    try:
-        stage.line("front", "send", "OPTIONS", "first")
-        stage.line("front", "expect", "200", "first")
-        with socket.create_connection(("127.0.0.1", stage.port)) as deaf:
-            deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            asked = f"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nVia: {'x' * 8000}\r\n"
-            with suppress(OSError):  # it is cut off while it still sends
-                for _ in range(20000):
-                    deaf.sendall(f"{asked}Content-Length: 0\r\n\r\n".encode())
-                raise AssertionError("it was never cut off")
-        play(stage, """
-            caller send INVITE a
-            hub1 expect INVITE a
-            hub1 send 200 a
-            caller expect 200 a
-        """)  # fmt: skip
-    finally:
-        log = stage.end()
-    assert "does not read" in log
+def test_a_peer_that_does_not_read_is_cut_off_and_stalls_nobody() -> None:
+    near, far = socket.socketpair()
+    ended: queue.Queue[bool] = queue.Queue()
+    link = Link(near, lambda on, message: None, lambda on, reset: ended.put(reset))
+    link.start()
+    bulky = request("OPTIONS", "sip:x@net", ("via", "x" * 8000))
+    sent = 0
+    while sent < 20000 and link.send(bulky):  # never waits
+        sent += 1
+    assert QUEUE_MOST <= sent < 20000 and not link.alive
+    assert ended.get(timeout=5) is False
+    far.close()
+
+
+@pytest.mark.parametrize(
+    "first",
+    ["", "INVITE x SIP/2.0\r\nX-Pad: ", "INVITE x SIP/2.0\r\nContent-Length: 9\r\n\r\nabc"],
+)
+def test_what_is_not_whole_in_time_ends_its_connection(first: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(CallerLink, "FIRST_MS", 300.0)
+    monkeypatch.setattr(CallerLink, "UNFINISHED_MS", 300.0)
+    near, far = socket.socketpair()
+    ended: queue.Queue[bool] = queue.Queue()
+    CallerLink(near, lambda on, message: None, lambda on, reset: ended.put(reset)).start()
+    far.sendall(first.encode())
+    until = now_ms() + 5000
+    with suppress(OSError):
+        while ended.empty() and now_ms() < until:  # byte by byte: the deadline does not move
+            time.sleep(0.02)
+            far.sendall(b"p" if first else b"\r\n")
+    assert ended.get(timeout=5) is False
+    far.close()
+
+
+@pytest.mark.parametrize("size", [60 * 1024 * 1024, 3_000_000_000])
+def test_what_is_far_too_large_is_refused_and_not_kept(size: int, running: Platform) -> None:
+    with socket.create_connection(("127.0.0.1", running.port)) as big:
+        head = f"INVITE sip:1@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: {size}\r\n\r\n"
+        big.settimeout(8)
+        with suppress(OSError):
+            big.sendall(head.encode())
+            for _ in range(60):
+                big.sendall(bytes(1024 * 1024))
+        if size < 100_000_000:  # all of it was read, so that the refusal is not lost
+            told = b"".join(iter(lambda: big.recv(100), b""))
+            assert told.startswith(b"SIP/2.0 413") and told.endswith(b"\r\n\r\n")
+    status = Path(f"/proc/{running.program.pid}/status").read_text()
+    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    assert int(peak.split()[1]) < 60 * 1024
+    play(running, """
+        caller send OPTIONS fine
+        caller expect 200 fine
+    """)
+
+
+def test_callers_that_ask_once_and_hold_on_make_room_for_others() -> None:
+    settings = read_settings(json.dumps(SETTINGS).encode())
+    callers = Callers(settings, Inbox(), "127.0.0.1", free_port(), 20)
+    callers.ready.set()
+    where = callers.listener.getsockname()
+    asked = b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
+    held = []
+    for _ in range(60):
+        held.append(socket.create_connection(where))
+        held[-1].settimeout(5)
+        held[-1].sendall(asked)
+        assert held[-1].recv(100).startswith(b"SIP/2.0 200"), "the newest is not served"
+    until = now_ms() + 5000
+    while len(callers.links) > 8 and now_ms() < until:
+        time.sleep(0.01)
+    assert len(callers.links) <= 8
+    callers.listener.close()
+    for sock in held:
+        sock.close()
 
 
 def test_a_silent_hub_is_written_off_once_before_eight_seconds() -> None:
