Release what stood at lab hubs that are gone, replaced or back, and forget them

Ruled out: the way to the callers (releases that were decided left within 1.2 ms). Now: an old connection that was silent is asked once (OPTIONS) when a new one is up, and taken as dead if it stays mute or is reset; a hub whose address a new one has is over; one that the list removes is over as of its last reset; hubs are forgotten 7 s after their last word, their connections closed. The tables of guard and module keep the last 32 that are gone.

--- a/badgerstile/control.py
+++ b/badgerstile/control.py
@@ -67,6 +67,7 @@
 LEGS_LIFE_MS = 3000.0  # what a far exchange told of its free circuits is used for so long
 ASKED_MS = 100.0  # a blocked call waits so long for such an answer; messages take a fraction of it
 LEGS_MOST = 60  # freest groups named in one answer: they fit the 256 bytes of a message
+GONE_MOST = 32  # exchanges that are gone and still known, in case they come back
 MARGIN_MS = 60.0  # an answer is given so long before the caller's time is up
 
 
@@ -249,6 +250,9 @@
             for exchange, far in self.far.items():
                 if exchange not in named:
                     far.health = Health.GONE
+        gone = [far for far in self.far.values() if far.health is Health.GONE and not far.waiting]
+        for far in gone[:-GONE_MOST]:  # those that were met first
+            del self.far[far.exchange]
         self._index()
         self._retry_held(now)
 
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -66,7 +66,9 @@
 CAUSE_CUT = 41  # the call was cut; 16 is an ordinary end
 WHY = {Reason.LINES_BUSY: Why.BUSY}
 
-Timer = Attempt | Woken | str
+Timer = Attempt | Woken | Stop | str
+STOP_TAKES_MS = 750.0  # after SIGTERM set-ups still come for 0.6 s
+STOP_ANSWERS_MS = 3400.0  # and the program is killed 3.7 s after it at the earliest: all is answered by then
 
 
 class Inbox:
@@ -206,8 +208,13 @@
                         self._hub_died(entry.exchange, entry.came_up_ms)
             case Budgets(contracts):
                 self.contracts.replace(contracts, self.now)
-            case Stop():
-                self.stopping, self.stop_ms = True, self.now + 750.0
+            case Stop() if not self.stopping:
+                self.stopping, self.stop_ms = True, self.now + STOP_TAKES_MS
+                self._at(self.now + STOP_ANSWERS_MS, event)
+            case Stop():  # guards against what the kill would find unanswered
+                for exchange in list(self.open.values()):
+                    if exchange.refuse(self._come_back(), exchange.why):
+                        self._drop(exchange)
             case Attempt():
                 self._attempt_due(event)
             case Woken():
--- a/landingdeal/core/guard.py
+++ b/landingdeal/core/guard.py
@@ -9,6 +9,8 @@
 
 SHARE_OF_BUDGET = 0.8  # of what a cold processor may be sent; the rest is left for chance
 
+GONE_MOST = 32  # lab hubs that are gone and still known here, the last ones
+
 
 class Listing:
     """What the guard knows of one lab hub."""
@@ -18,7 +20,7 @@
     def __init__(self) -> None:
         self.health, self.told_ms, self.came_up_ms = Health.READY, float("-inf"), 0.0
         self.room_per_s = 0.0  # the most it ever said that it can take from all senders
-        self.sends: deque[float] = deque(maxlen=512)
+        self.sends: deque[float] = deque(maxlen=256)
 
 
 class Guard:
@@ -38,6 +40,9 @@
             for name, hub in self.hubs.items():
                 if name not in named and hub.health is not Health.GONE:
                     hub.health, hub.told_ms = Health.GONE, now
+        gone = [name for name, hub in self.hubs.items() if hub.health is Health.GONE]
+        for name in gone[:-GONE_MOST]:  # guards the memory on days when each lab hub is a new one
+            del self.hubs[name]
 
     def room(self, name: bytes, per_s: float) -> None:
         hub = self.hubs.get(name)
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -20,7 +20,9 @@
 WATCH_MS = 250.0
 REDIAL_MS = 250.0  # after a failed connect
 GIVEN_UP_MOST = 256  # set-ups called off on one connection whose answer may still cross that
-HUBS_MOST = 64  # lab hubs of which connections are kept
+HUBS_MOST = 512  # lab hubs, those included that went less than 7 s ago
+ASKED_MS = 2500.0  # for an answer on a connection that was silent and has been replaced
+AT_ONCE_MS = 700.0  # a lab hub whose connection was reset and that is back so soon has not been restarted
 ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CUT, 408: Ending.TIMED_OUT}
 
 
@@ -47,7 +49,8 @@
         self.probes: dict[str, Probing] = {}
         self.gone = self.kept = False  # kept: its keeper runs
         self.heard_ms = self.connected_ms = now_ms()
-        self.refused, self.reset_ms = 0, 0.0  # connects refused in a row; when its connection was reset
+        self.refused, self.reset_ms = 0, 0.0  # connects refused in a row; a reset that may be its death
+        self.cut_ms = 0.0  # the last reset
         self.written_off = False  # its calls have been released for its silence
         self.wake = threading.Condition()
 
@@ -69,22 +72,39 @@
         host, _, port = address.rpartition(":")
         with self.lock:
             hub = self.hubs.get(name)
+            replaced = []
             if hub is None:
-                if len(self.hubs) >= HUBS_MOST:
-                    self.hubs = {n: h for n, h in self.hubs.items() if not h.gone or h.open}
                 if gone or len(self.hubs) >= HUBS_MOST:
                     return
                 hub = self.hubs[name] = Hub(name, host, int(port))
+                others = [h for h in self.hubs.values() if h is not hub]
+                replaced = [h for h in others if (h.host, h.port) == (host, hub.port)]
+        for old in replaced:
+            self._replaced(old)
         with hub.wake:
+            cut = hub.cut_ms if gone else 0.0
             if address:
                 hub.host, hub.port = host, int(port)
             hub.gone = gone
             # guards against a lab hub that is back and has no keeper, for which set-ups would wait in vain
             keep, hub.kept = not gone and not hub.kept, hub.kept or not gone
             hub.wake.notify()
+        if cut:  # the reset was the end of its process after all
+            self.inbox.tell(HubDied(name, cut))
         if keep:
             start_thread("keeper", lambda: self._keep(hub))
 
+    def _replaced(self, old: Hub) -> None:
+        """Guards against taking the connections of a new lab hub at its address for its own."""
+        with old.wake:
+            old.gone = True
+            links = list(old.open)
+            old.host, old.port = "", 0
+            old.wake.notify()
+        for link in links:
+            link.close()
+        self.inbox.tell(HubDied(old.name, now_ms()))
+
     def start(self) -> None:
         def watch() -> None:
             while True:
@@ -102,7 +122,7 @@
         with self.lock:
             hubs = list(self.hubs.values())
         for hub in hubs:
-            died = False
+            died, before, over, unsure = False, now, False, []
             with hub.wake:
                 late = [key for key, probing in hub.probes.items() if now > probing.deadline_ms]
                 lost = [hub.probes.pop(key) for key in late]
@@ -112,14 +132,31 @@
                 if silent > SILENT_MS and not hub.written_off:
                     died = hub.written_off = True
                 idle = [link for link, calls in hub.open.items() if link is not hub.link and not calls]
-                spare = idle if hub.link is not None else []
+                spare = [link for link in idle if link.asked_ms and link.heard_ms > link.asked_ms]
+                if hub.link is not None:
+                    unsure = [link for link in idle if not link.asked_ms]
+                for link in unsure:
+                    link.asked_ms, link.replaced_ms = now, hub.connected_ms
+                mute = [link for link in idle if link.asked_ms and link not in spare]
+                mute = [link for link in mute if now - link.asked_ms > ASKED_MS]
+                if mute:
+                    died, before, spare = True, max(link.replaced_ms for link in mute), spare + mute
+                if hub.gone and hub.written_off:
+                    spare, over = list(hub.open), not hub.kept and not hub.open
             for probing in lost:
                 self.inbox.tell(Probed(hub.name, False, probing.deadline_ms - probing.sent_ms))
+            for link in unsure:
+                # replaced while it was silent: an answer proves that what stands there still does
+                link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", f"{0:016x}"),
+                                  ("cseq", "1 OPTIONS")))  # fmt: skip
             for link in spare:
                 link.close()
             if died:
                 say(f"{hub.name!r} has said nothing for {silent / 1000:.1f} s: its calls are taken as over")
-                self.inbox.tell(HubDied(hub.name, now))
+                self.inbox.tell(HubDied(hub.name, before))
+            if over:  # guards the memory and the threads on days when each lab hub is a new one
+                with self.lock:
+                    self.hubs.pop(hub.name, None)
 
     def _heard(self, hub: Hub) -> None:
         hub.heard_ms, hub.written_off = now_ms(), False
@@ -139,6 +176,7 @@
                 if hub.gone:
                     hub.link, hub.kept = None, False
                     waiting, hub.waiting = hub.waiting, []
+                    died, hub.reset_ms = hub.reset_ms, 0.0
                     break
             until = now_ms() + self.dial_ms
             try:
@@ -170,17 +208,22 @@
                 hub.link = link
                 hub.open[link] = {}
                 hub.connected_ms = now_ms()
+                late = hub.reset_ms if hub.connected_ms - hub.reset_ms > AT_ONCE_MS else 0.0
                 hub.refused, hub.reset_ms = 0, 0.0
                 self._heard(hub)
                 waiting, hub.waiting = hub.waiting, []
                 releases, hub.releases = hub.releases, []
             link.start()
+            if late:  # it took a while to come back: another process
+                self.inbox.tell(HubDied(hub.name, late))
             say(f"connected to {hub.name!r}")
             for call in releases:
                 link.send(self._bye(call))
             for attempt in waiting:
                 if not self._send(hub, link, attempt):
                     self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
+        if died:
+            self.inbox.tell(HubDied(hub.name, died))
         for attempt in waiting:
             self.inbox.tell(Ended(attempt, Ending.UNREACHABLE))
 
@@ -188,19 +231,22 @@
         with hub.wake:
             cut = list(hub.open.pop(link, {}).values())
             before = now_ms()
-            if hub.link is link:
+            doubted = hub.link is not link
+            if not doubted:
                 hub.link = None
             elif hub.link is not None:
                 before = hub.connected_ms  # what was set up on the new connection stands
             hub.wake.notify()
-            if reset:
-                hub.reset_ms = max(hub.reset_ms, before)
+            if reset and not doubted:
+                hub.reset_ms = hub.cut_ms = before
         how = "reset" if reset else "closed"
         say(f"connection to {hub.name!r} ended ({how}, {len(cut)} set-ups open)")
         for attempt in cut:
             # given up with its connection, which proves nothing of its lab hub: one that is gone refuses the
             # next. Guards against trying a healthy hub one call at a time, and pacing it as if newly started
             self.inbox.tell(Ended(attempt, Ending.CANCELLED))
+        if reset and doubted:  # it had been silent: whoever answers there now knows nothing of it
+            self.inbox.tell(HubDied(hub.name, before))
 
     def _doubt(self, hub: Hub) -> None:
         """A silent connection may be dead: a new one is tried, and set-ups wait for that.
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -169,6 +169,8 @@
         on_end: Callable[[HubLink, bool], None],
     ) -> None:
         super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
+        self.asked_ms = 0.0  # when it was asked whether anyone is still there, having been replaced
+        self.replaced_ms = 0.0
         self.given_up: dict[str, None] = {}  # set-ups called off: an answer that crossed that is released
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -110,6 +110,9 @@
 
     def came(self, wire: Wire, message: Message | Malformed | None) -> None:
         assert not isinstance(message, Malformed), message
+        if message is not None and message.uri == "sip:load@net":  # a lab hub that lives says so
+            wire.put(encode(response(message, 200)))
+            return
         if message is not None and message.method == "INVITE":
             self.requests[message.call_id] = (wire, message)
         if message is None and wire in self.wires:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -20,6 +20,7 @@
     News,
     Offer,
     Stood,
+    Stop,
     Why,
     Withdrawn,
 )
@@ -156,6 +157,35 @@
     assert not stage.broker.switch.rates and not stage.broker.open
 
 
+def test_a_later_start_of_its_process_ends_what_stood_at_a_hub() -> None:
+    stage = Stage()
+    stage.offer()
+    stage.give(Stood(stage.hubs.sent[0], b"theirs"))
+    for came_up, told in ((now_ms() - 60000, [b"theirs"]), (now_ms() + 1, [b"theirs", 41])):
+        stage.give(News(ExchangeList(ListKind.CHANGES, (Listed(HUB, 1, Health.READY, came_up),))))
+        assert stage.caller.told == told
+
+
+def test_after_the_stop_all_is_answered_before_the_kill() -> None:
+    stage = Stage()
+    stage.offer(patience=9000.0)
+    stage.give(Stop())
+    assert stage.caller.told == []
+    ((due, _, _),) = (timer for timer in stage.broker.timers if isinstance(timer[2], Stop))
+    assert due - now_ms() < 3700
+    stage.give(Stop())
+    assert stage.caller.told == [Why.TURNED_AWAY] and not stage.broker.open
+
+
+def test_hubs_that_come_and_go_stay_in_no_table() -> None:
+    stage = Stage()
+    for number in range(500):
+        name = f"s-{number}".encode()
+        for health in (Health.READY, Health.GONE):
+            stage.give(News(ExchangeList(ListKind.CHANGES, (Listed(name, 1, health, 0.0),))))
+    assert len(stage.broker.guard.hubs) < 50 and len(stage.broker.switch.far) < 50
+
+
 def test_an_exception_in_the_module_leaves_no_caller_unanswered(capsys: pytest.CaptureFixture[str]) -> None:
     stage = Stage()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -423,6 +423,60 @@
             sock.close()
 
 
+def test_hubs_that_are_gone_leave_nothing_behind() -> None:
+    inbox = Inbox()
+    hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 50.0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.settimeout(5)
+        where, until = f"127.0.0.1:{server.getsockname()[1]}", now_ms() + 5000
+        for name in (b"a", b"b"):  # the second has the address of the first, whose end is told nowhere
+            hubs.known(name, where, False)
+            server.accept()
+        old = hubs.hubs[b"a"]
+        while (old.kept or old.open) and now_ms() < until:
+            time.sleep(0.01)
+        assert not old.kept and not old.open
+        assert [type(event) for event in inbox.take(now_ms())] == [HubDied]
+        hubs.known(b"a", "", True)
+        hubs.watch(now_ms() + 7100)
+        hubs.watch(now_ms() + 7200)
+        assert set(hubs.hubs) == {b"b"}
+        hubs.known(b"b", where, True)
+        while hubs.hubs and now_ms() < until:  # silent and gone: its connection is closed and it is forgotten
+            hubs.watch(now_ms() + 7100)
+            time.sleep(0.01)
+        assert not hubs.hubs
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_who_is_silent_on_an_old_connection_only_has_been_restarted(answers: bool) -> None:
+    inbox = Inbox()
+    hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 500.0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.settimeout(5)
+        hubs.known(b"h", f"127.0.0.1:{server.getsockname()[1]}", False)
+        old, _ = server.accept()
+        hub, until = hubs.hubs[b"h"], now_ms() + 5000
+        while hub.link is None and now_ms() < until:
+            time.sleep(0.01)
+        hubs.watch(now_ms() + 2600)
+        new, _ = server.accept()
+        while hub.link is None and now_ms() < until:
+            time.sleep(0.01)
+        hubs.watch(now_ms())
+        old.settimeout(5)
+        assert b"OPTIONS sip:load@net" in old.recv(1000)
+        (asked,) = (link for link in hub.open if link is not hub.link)
+        if answers:
+            old.sendall(b"SIP/2.0 200 OK\r\nCall-ID: 0\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n")
+            while asked.heard_ms <= asked.asked_ms and now_ms() < until:
+                time.sleep(0.01)
+        hubs.watch(asked.asked_ms + 2501)
+        told = [event for event in inbox.take(now_ms())]
+        assert told == ([] if answers else [HubDied(b"h", hub.connected_ms)])
+        new.close()
+
+
 def test_a_probe_without_an_answer_is_told_as_failed() -> None:
     inbox = Inbox()
     hubs = Hubs(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 50.0)
