Take no lab hub for newly started that answered within 2 s or says 504 itself

Cause: a 504 of a lab hub was told to the module as cut, Softswitch took that for the death of its processor if nothing had come since the send, and FarEnd.answered then set came_up to now: a cold pace for 14 s.

--- a/badgerstile/control.py
+++ b/badgerstile/control.py
@@ -67,6 +67,7 @@
 LEGS_LIFE_MS = 3000.0  # what a far exchange told of its free circuits is used for so long
 ASKED_MS = 100.0  # a blocked call waits so long for such an answer; messages take a fraction of it
 LEGS_MOST = 60  # freest groups named in one answer: they fit the 256 bytes of a message
+BACK_LEAST_MS = 2000.0  # no processor starts again so fast: who answered since was only cut off from here
 GONE_MOST = 32  # exchanges that are gone and still known, in case they come back
 MARGIN_MS = 60.0  # an answer is given so long before the caller's time is up
 
@@ -122,10 +123,11 @@
         return self.stepped - STEP * max(now - self.stepped_at - SHARE_LIFE_MS / 2, 0.0) / 1000
 
     def answered(self, now: float) -> None:
-        self.last_answer = now
         self.trial = None
-        if self.died:  # whatever comes back from the dead starts cold, even if no list has told so yet
+        if self.died and now - self.last_answer > BACK_LEAST_MS:
+            # whatever comes back from the dead starts cold, even if no list has told so yet
             self.came_up = max(self.came_up, now)
+        self.last_answer = now
         self.failures, self.died = 0, False
 
     def failed(self, now: float, pause_ms: float) -> None:
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -16,14 +16,16 @@
 from landingdeal.sip.message import BrokenFraming, Malformed, Message, request, response
 
 QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
+UNHEARD_MS = 700.0  # or so long after a set-up
 SILENT_MS = 7000.0  # and after so long in vain its calls are over: callers must hear within 8 s of an end
 WATCH_MS = 250.0
 REDIAL_MS = 250.0  # after a failed connect
 GIVEN_UP_MOST = 256  # set-ups called off on one connection whose answer may still cross that
 HUBS_MOST = 512  # lab hubs, those included that went less than 7 s ago
-ASKED_MS = 2500.0  # for an answer on a connection that was silent and has been replaced
+ASKED_MS = 500.0  # then a connection that was silent and has been replaced is closed
 AT_ONCE_MS = 700.0  # a lab hub whose connection was reset and that is back so soon has not been restarted
-ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CUT, 408: Ending.TIMED_OUT}
+# 504: the set-up broke on its way, and may have run. Said by a lab hub that lives: it is no sign of a death
+ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CANCELLED, 408: Ending.TIMED_OUT}
 
 
 def is_description(body: bytes) -> bool:
@@ -122,42 +124,49 @@
         with self.lock:
             hubs = list(self.hubs.values())
         for hub in hubs:
-            died, before, over, unsure = False, now, False, []
+            died, over, unsure = False, False, []
             with hub.wake:
                 late = [key for key, probing in hub.probes.items() if now > probing.deadline_ms]
                 lost = [hub.probes.pop(key) for key in late]
                 silent = now - hub.heard_ms
-                if hub.link is not None and silent > QUIET_MS:
+                if hub.link is not None and (silent > QUIET_MS or self._unheard(hub, hub.link, now)):
                     self._doubt(hub)
                 if silent > SILENT_MS and not hub.written_off:
                     died = hub.written_off = True
-                idle = [link for link, calls in hub.open.items() if link is not hub.link and not calls]
-                spare = [link for link in idle if link.asked_ms and link.heard_ms > link.asked_ms]
+                old = [link for link in hub.open if link is not hub.link]
+                spare = [link for link in old if not hub.open[link] and link.heard_ms > link.asked_ms > 0]
                 if hub.link is not None:
-                    unsure = [link for link in idle if not link.asked_ms]
+                    unsure = [link for link in old if not link.asked_ms]
                 for link in unsure:
                     link.asked_ms, link.replaced_ms = now, hub.connected_ms
-                mute = [link for link in idle if link.asked_ms and link not in spare]
-                mute = [link for link in mute if now - link.asked_ms > ASKED_MS]
-                if mute:
-                    died, before, spare = True, max(link.replaced_ms for link in mute), spare + mute
+                # nothing on it will be answered any more: what is open there ends with it, and goes out again
+                spare += [link for link in hub.open if link.asked_ms and now - link.asked_ms > ASKED_MS]
                 if hub.gone and hub.written_off:
                     spare, over = list(hub.open), not hub.kept and not hub.open
             for probing in lost:
                 self.inbox.tell(Probed(hub.name, False, probing.deadline_ms - probing.sent_ms))
             for link in unsure:
-                # replaced while it was silent: an answer proves that what stands there still does
+                # replaced while it was silent: a process that was restarted meanwhile answers with a reset
                 link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", f"{0:016x}"),
                                   ("cseq", "1 OPTIONS")))  # fmt: skip
             for link in spare:
                 link.close()
             if died:
                 say(f"{hub.name!r} has said nothing for {silent / 1000:.1f} s: its calls are taken as over")
-                self.inbox.tell(HubDied(hub.name, before))
+                self.inbox.tell(HubDied(hub.name, now))
             if over:  # guards the memory and the threads on days when each lab hub is a new one
                 with self.lock:
                     self.hubs.pop(hub.name, None)
 
+    @staticmethod
+    def _unheard(hub: Hub, link: HubLink, now: float) -> bool:
+        """A set-up has waited on it for long, and nothing at all has come since.
+
+        Guards against a connection that has fallen silent while its lab hub goes on answering on others.
+        """
+        oldest = next(iter(hub.open.get(link, {}).values()), None)
+        return oldest is not None and now - oldest.sent_ms > UNHEARD_MS and link.heard_ms < oldest.sent_ms
+
     def _heard(self, hub: Hub) -> None:
         hub.heard_ms, hub.written_off = now_ms(), False
 
@@ -234,8 +243,8 @@
             doubted = hub.link is not link
             if not doubted:
                 hub.link = None
-            elif hub.link is not None:
-                before = hub.connected_ms  # what was set up on the new connection stands
+            elif link.replaced_ms or hub.link is not None:
+                before = link.replaced_ms or hub.connected_ms  # what was set up on the new connection stands
             hub.wake.notify()
             if reset and not doubted:
                 hub.reset_ms = hub.cut_ms = before
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -201,6 +201,19 @@
     assert exchange(2) not in stage.sent(later)
 
 
+@pytest.mark.parametrize(("away", "paced"), [(1500.0, False), (2500.0, True)])
+def test_an_exchange_that_answered_just_now_has_not_been_started_anew(away: float, paced: bool) -> None:
+    stage = Stage(EVEN)
+    first, _ = stage.call(1)
+    stage.give(CallStands(first, exchange(1), 0, 40.0), 40.0)
+    stage.give(Woken(0), 10.0)
+    second, _ = stage.call(1)
+    stage.give(AttemptEnded(second, exchange(1), 0, Ending.CUT, False, 20.0), away)
+    assert stage.switch.far[exchange(1)].died
+    stage.give(CallStands(second, exchange(1), 0, 40.0))
+    assert (stage.switch.far[exchange(1)].came_up > 0) is paced
+
+
 def test_a_dead_exchange_gets_single_trials_and_comes_back_cold() -> None:
     stage = Stage()
     call, _ = stage.call(1)
