Replace a connection that falls silent within a quarter of the aim; it is no slow hub

Ruled out: cold pace, shares, circuits. Now a connection with set-ups out and nothing heard for a quarter of the shortest aim (100 ms at least) is doubted, once a second at most; it is closed 250 ms after the hub has answered on the new one, and a time-out there is told as given up. Where the hub answers nowhere it still counts as slow. A handler that fails ends its connection now: its reader died and left what was open there waiting.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -354,8 +354,9 @@
 
     def _attempt_due(self, attempt: Attempt) -> None:
         if self._current(attempt) is not None:
-            self.hubs.cancel(attempt)
-            self._ended(Ended(attempt, Ending.TIMED_OUT))
+            # guards the module against taking a connection that fell silent for a processor that is slow
+            mute = self.hubs.cancel(attempt)
+            self._ended(Ended(attempt, Ending.CANCELLED if mute else Ending.TIMED_OUT))
 
     def _end_of(self, standing: Standing, ending: Ending, report: tuple[float, ...] = ()) -> Event:
         attempt = standing.attempt
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -16,13 +16,15 @@
 from landingdeal.sip.message import BrokenFraming, Malformed, Message, request, response
 
 QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
-UNHEARD_MS = 700.0  # or so long after a set-up
+MUTE_PART = 0.25  # of the shortest aim: or whose connection has said nothing so long after a set-up
+MUTE_LEAST_MS, MUTE_MOST_MS = 100.0, 2500.0
+DOUBT_EVERY_MS = 1000.0
 SILENT_MS = 7000.0  # and after so long in vain its calls are over: callers must hear within 8 s of an end
-WATCH_MS = 250.0
+WATCH_MS = 100.0
 REDIAL_MS = 250.0  # after a failed connect
 GIVEN_UP_MOST = 256  # set-ups called off on one connection whose answer may still cross that
 HUBS_MOST = 512  # lab hubs, those included that went less than 7 s ago
-ASKED_MS = 500.0  # then a connection that was silent and has been replaced is closed
+ASKED_MS = 250.0  # for a word on a connection that was silent, where its lab hub answers on the new one
 AT_ONCE_MS = 700.0  # a lab hub whose connection was reset and that is back so soon has not been restarted
 # 504: the set-up broke on its way, and may have run. Said by a lab hub that lives: it is no sign of a death
 ENDINGS = {503: Ending.TURNED_BACK, 480: Ending.NOT_SENT, 504: Ending.CANCELLED, 408: Ending.TIMED_OUT}
@@ -53,6 +55,7 @@
         self.heard_ms = self.connected_ms = now_ms()
         self.refused, self.reset_ms = 0, 0.0  # connects refused in a row; a reset that may be its death
         self.cut_ms = 0.0  # the last reset
+        self.doubted_ms = 0.0
         self.written_off = False  # its calls have been released for its silence
         self.wake = threading.Condition()
 
@@ -60,6 +63,8 @@
 class Hubs:
     def __init__(self, settings: Settings, inbox: Inbox, local: str, dial_ms: float) -> None:
         self.set, self.inbox, self.dial_ms = settings, inbox, dial_ms
+        aim = min(kind.aim_ms for kind in settings.classes)
+        self.mute_ms = max(aim * MUTE_PART, MUTE_LEAST_MS)
         self.via = ("via", f"SIP/2.0/TCP {local}")
         self.lock = threading.Lock()
         self.hubs: dict[bytes, Hub] = {}
@@ -129,7 +134,8 @@
                 late = [key for key, probing in hub.probes.items() if now > probing.deadline_ms]
                 lost = [hub.probes.pop(key) for key in late]
                 silent = now - hub.heard_ms
-                if hub.link is not None and (silent > QUIET_MS or self._unheard(hub, hub.link, now)):
+                if hub.link is not None and (silent > QUIET_MS or self._mute(hub, hub.link, now)):
+                    hub.doubted_ms = now
                     self._doubt(hub)
                 if silent > SILENT_MS and not hub.written_off:
                     died = hub.written_off = True
@@ -139,8 +145,8 @@
                     unsure = [link for link in old if not link.asked_ms]
                 for link in unsure:
                     link.asked_ms, link.replaced_ms = now, hub.connected_ms
-                # nothing on it will be answered any more: what is open there ends with it, and goes out again
-                spare += [link for link in hub.open if link.asked_ms and now - link.asked_ms > ASKED_MS]
+                # what is open there ends with it, and goes out again
+                spare += [link for link in old if self._forsaken(hub, link, now)]
                 if hub.gone and hub.written_off:
                     spare, over = list(hub.open), not hub.kept and not hub.open
             for probing in lost:
@@ -158,14 +164,16 @@
                 with self.lock:
                     self.hubs.pop(hub.name, None)
 
-    @staticmethod
-    def _unheard(hub: Hub, link: HubLink, now: float) -> bool:
-        """A set-up has waited on it for long, and nothing at all has come since.
+    def _mute(self, hub: Hub, link: HubLink, now: float) -> bool:
+        """Guards against a connection that falls silent while its lab hub goes on answering on others."""
+        return link.mute_for(now) > self.mute_ms and now - hub.doubted_ms > DOUBT_EVERY_MS
 
-        Guards against a connection that has fallen silent while its lab hub goes on answering on others.
-        """
-        oldest = next(iter(hub.open.get(link, {}).values()), None)
-        return oldest is not None and now - oldest.sent_ms > UNHEARD_MS and link.heard_ms < oldest.sent_ms
+    @staticmethod
+    def _forsaken(hub: Hub, link: HubLink, now: float) -> bool:
+        """Nothing on it will be answered any more: others are, or too long has passed."""
+        since = link.asked_ms
+        others = hub.link is not None and hub.link.final_ms > since
+        return since > 0 and link.heard_ms < since and now - since > (ASKED_MS if others else MUTE_MOST_MS)
 
     def _heard(self, hub: Hub) -> None:
         hub.heard_ms, hub.written_off = now_ms(), False
@@ -306,18 +314,20 @@
             )
         )  # fmt: skip
         if sent:
+            if link.unanswered_ms <= link.heard_ms:
+                link.unanswered_ms = now_ms()
             return True
         with hub.wake:  # where it is missing, the end of the connection has told of it already
             return here.pop(offer.call, None) is None
 
-    def cancel(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt) -> bool:
         hub = self._hub(attempt.hub)
         if hub is None:
-            return
+            return False
         with hub.wake:
             if attempt in hub.waiting:
                 hub.waiting.remove(attempt)
-                return
+                return False
             link = next(
                 (on for on, calls in hub.open.items() if calls.get(attempt.offer.call) is attempt), None
             )
@@ -326,12 +336,15 @@
                 link.given_up[attempt.offer.call] = None
                 if len(link.given_up) > GIVEN_UP_MOST:
                     link.given_up.pop(next(iter(link.given_up)))
+            mute = link is not None and link is not hub.link and link.heard_ms < attempt.sent_ms
+            mute = mute and hub.link is not None and hub.link.final_ms > attempt.sent_ms
             waited = now_ms() - attempt.sent_ms > self.dial_ms  # a caller may call off at once
             if hub.link is not None and waited and hub.link.heard_ms < attempt.sent_ms:
                 self._doubt(hub)
         if link is not None:
             offer = attempt.offer
             link.send(request("CANCEL", offer.uri, self.via, ("call-id", offer.call), ("cseq", "1 CANCEL")))
+        return mute
 
     def _bye(self, call: str) -> Message:
         return request("BYE", "sip:hub@net", self.via, ("call-id", call), ("cseq", "2 BYE"),
@@ -392,6 +405,7 @@
 
     def _final(self, hub: Hub, link: HubLink, message: Message) -> None:
         call = message.call_id
+        link.final_ms = now_ms()
         with hub.wake:
             attempt = hub.open.get(link, {}).pop(call, None)
             given_up = attempt is None and call in link.given_up
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -6,7 +6,9 @@
 import queue
 import socket
 import struct
+import sys
 import threading
+import traceback
 from collections.abc import Callable
 
 from landingdeal.clock import now_ms, seconds_until
@@ -129,6 +131,8 @@
             # guards against taking our own close for the death of the peer: what is still under way from
             # there then comes back as a reset too, and its standing calls would be thrown away
             reset = self.alive
+        except Exception:  # guards what is open here: a handler that goes wrong must not leave it waiting
+            traceback.print_exc(file=sys.stderr)
         self.close()
         self.on_end(self, reset)
         with contextlib.suppress(queue.Full):  # full: the writer is at work, and its next send fails
@@ -171,8 +175,14 @@
         super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
         self.asked_ms = 0.0  # when it was asked whether anyone is still there, having been replaced
         self.replaced_ms = 0.0
+        self.unanswered_ms = 0.0  # the first set-up sent here since anything was heard
+        self.final_ms = 0.0  # the last answer to a set-up
         self.given_up: dict[str, None] = {}  # set-ups called off: an answer that crossed that is released
 
+    def mute_for(self, now: float) -> float:
+        """How long set-ups have gone out here without a word coming back."""
+        return now - self.unanswered_ms if self.unanswered_ms > self.heard_ms else 0.0
+
 
 def serve(host: str, port: int, on_socket: Callable[[socket.socket], None]) -> socket.socket:
     """Listens, and hands over each accepted connection from a thread of its own."""
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -86,8 +86,9 @@
     def set_up(self, attempt: Attempt) -> None:
         self.loop.post(lambda: self._set_up(attempt))
 
-    def cancel(self, attempt: Attempt) -> None:
+    def cancel(self, attempt: Attempt) -> bool:
         self.loop.post(lambda: self._cancel(attempt))
+        return False  # a transaction times out by itself, whichever its connection
 
     def release(self, hub: bytes, call: str) -> None:
         self.loop.post(lambda: self._release_hub(hub, call))
