Tell releases to callers whose calls stood, not to whoever connected last

Ruled out: the hubs' side (three connects, no silence, no reset) and the restarts (the first case is before them). Cause: Callers.release fell back on the connection heard last, and a new one counts as heard when it connects: among hundreds that say nothing that was always one of those; what nobody had heard went to whoever connected next. Now it goes to a connection on which a call stood, else to one that has sent something whole, else waits for such a one; and when room is made, those that have said nothing for 0.2 s are closed before idle usual callers.

--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -19,6 +19,7 @@
 IDLE_MS = 8000.0  # a usual caller closes after 4 s without a call: this one only holds its connection
 KEPT = 4  # so many of the idle are kept all the same: a release may need one
 SWEEP_MS = 500.0
+FRESH_MS = 200.0  # after its connect a usual caller has sent its set-up
 UNHEARD_MOST = 2000  # releases that no caller was there to hear
 UNHEARD_MS = 15000.0  # so long such a release is kept
 STATUS = {Why.FAILED: 500, Why.FORBIDDEN: 403}  # all others: 503, trying again is harmless
@@ -69,7 +70,7 @@
 
     __slots__ = ("front", "link", "invite")
 
-    def __init__(self, front: Callers, link: Link, invite: Message) -> None:
+    def __init__(self, front: Callers, link: CallerLink, invite: Message) -> None:
         self.front, self.link, self.invite = front, link, invite
 
     @property
@@ -81,6 +82,7 @@
 
     def answer(self, description: bytes) -> None:
         self.front.closed_set_up(self.link, self.invite.call_id)
+        self.link.trust = 2
         self.link.send(response(self.invite, 200, body=description))
 
     def refuse(self, come_back_ms: float, why: Why) -> None:
@@ -101,9 +103,9 @@
         self.links_most, self.links_limit = int(sockets * LINKS_PART), int(sockets * BURST_PART)
         self.swept_ms = now_ms()
         self.lock = threading.Lock()
-        self.links: dict[Link, dict[str, Caller]] = {}  # and the set-ups open on each
+        self.links: dict[CallerLink, dict[str, Caller]] = {}  # and the set-ups open on each
         self.unheard: OrderedDict[str, tuple[float, int]] = OrderedDict()
-        self.told: deque[tuple[float, str, int, Link]] = deque(maxlen=UNHEARD_MOST)
+        self.told: deque[tuple[float, str, int, CallerLink]] = deque(maxlen=UNHEARD_MOST)
         self.ready = threading.Event()
         self.stopping = False
         self.listener = serve(host, port, self._accepted)
@@ -117,19 +119,23 @@
             if len(self.links) >= self.links_limit:
                 sock.close()
                 return
-            link = CallerLink(sock, self._message, self._ended)
+            link = CallerLink(sock, self._on_message, self._on_end)
             self.links[link] = {}
             spare = self._spare()
-            unheard = [(call, at, cause) for call, (at, cause) in self.unheard.items()]
-            self.unheard.clear()
         link.start()
         for idle in spare:
             idle.close()
-        for call, at, cause in unheard:
+
+    def _trusted(self, link: CallerLink) -> None:
+        """What it sends is whole: releases that nobody was there to hear go out here."""
+        with self.lock:
+            link.trust = max(link.trust, 1)
+            unheard, self.unheard = self.unheard, OrderedDict()
+        for call, (at, cause) in unheard.items():
             if now_ms() - at < UNHEARD_MS:
                 self.release(call, cause, link)
 
-    def _spare(self) -> list[Link]:
+    def _spare(self) -> list[CallerLink]:
         """Guards descriptors and usual callers against those who ask once, or never, and hold on."""
         now = now_ms()
         crowded = sum(link.alive for link in self.links) - self.links_most
@@ -137,11 +143,20 @@
             return []
         self.swept_ms = now
         idle = [link for link, open_here in self.links.items() if link.alive and not open_here]
-        idle.sort(key=lambda link: link.heard_ms)
+        # first those that connected and say nothing, then the idlest
+        idle.sort(key=lambda link: (link.trust > 0 or now - link.began_ms < FRESH_MS, link.heard_ms))
         old = [link for link in idle[:-KEPT] if now - link.heard_ms > IDLE_MS]
         return old if len(old) >= crowded else idle[: max(crowded, 0)]
 
-    def _ended(self, link: Link, reset: bool) -> None:
+    def _on_message(self, link: Link, message: Message | Malformed) -> None:
+        assert isinstance(link, CallerLink)
+        self._message(link, message)
+
+    def _on_end(self, link: Link, reset: bool) -> None:
+        assert isinstance(link, CallerLink)
+        self._ended(link, reset)
+
+    def _ended(self, link: CallerLink, reset: bool) -> None:
         with self.lock:
             open_here = self.links.pop(link, {})
             again = [(c, k) for at, c, k, to in self.told if to is link and now_ms() - at < SETTLE_MS]
@@ -156,7 +171,7 @@
         while self.told and now_ms() - self.told[0][0] >= SETTLE_MS:
             self.told.popleft()
 
-    def _message(self, link: Link, message: Message | Malformed) -> None:
+    def _message(self, link: CallerLink, message: Message | Malformed) -> None:
         if isinstance(message, Malformed):
             if not message.message.status and message.message.method != "ACK":
                 link.send(response(message.message, 413 if message.why == TOO_LARGE else 400))
@@ -174,6 +189,7 @@
                 link.send(response(message, 200))
                 self.inbox.tell(CallerReleased(message.call_id))
             case "OPTIONS":
+                self._trusted(link)
                 well = self.ready.is_set() and not self.stopping
                 link.send(response(message, 200 if well else 503))
             case "ACK":
@@ -181,7 +197,7 @@
             case _:
                 link.send(response(message, 405, ALLOW))
 
-    def _invite(self, link: Link, message: Message) -> None:
+    def _invite(self, link: CallerLink, message: Message) -> None:
         came = now_ms()
         try:
             facts = facts_of(message.get("x-facts"))
@@ -211,6 +227,8 @@
         except (ValueError, KeyError):
             link.send(response(message, 400))
             return
+        if self.unheard or not link.trust:
+            self._trusted(link)
         with self.lock:
             open_here = self.links.get(link, {})
             twice = message.call_id in open_here  # its answer could not be told from the other's
@@ -222,15 +240,17 @@
         if not self.inbox.offer(offer):  # guards against a caller left unanswered by a full inbox
             caller.refuse(self.later_ms, Why.TURNED_AWAY)
 
-    def closed_set_up(self, link: Link, call: str) -> None:
+    def closed_set_up(self, link: CallerLink, call: str) -> None:
         with self.lock:
             self.links.get(link, {}).pop(call, None)
 
-    def release(self, call: str, cause: int, first: Link | None = None) -> None:
+    def release(self, call: str, cause: int, first: CallerLink | None = None) -> None:
         """Goes out on any connection from callers: its own, else the one heard last, else the next."""
         with self.lock:
             if first is None or first not in self.links or not first.alive:
-                alive = sorted((link for link in self.links if link.alive), key=lambda link: link.heard_ms)
+                # guards against telling it to whoever just connected, or asked for nothing that can stand
+                heard = (link for link in self.links if link.alive and link.trust)
+                alive = sorted(heard, key=lambda link: (link.trust, link.heard_ms))
                 first = alive[-1] if alive else None
             if first is None:
                 self.unheard[call] = (now_ms(), cause)
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -159,6 +159,7 @@
 
     FIRST_MS = 2000.0
     UNFINISHED_MS = 2000.0
+    trust = 0  # 1: it sent what is whole, 2: a call stood; a release goes to whom it can be told
 
 
 class HubLink(Link):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -81,6 +81,18 @@
         hub2 expect 200 old
         front expect BYE old Reason:Q.850;cause=41
     """,
+    "a release is not told to who connected and says nothing": """
+        caller send INVITE a dest=1
+        hub1 expect INVITE a
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a
+        caller close
+        silent raw \\r\\n
+        hub1 send BYE a Reason:Q.850;cause=16
+        front expect BYE a Reason:Q.850;cause=16
+        silent wait 100
+    """,
     "a standing call belongs to no connection": """
         caller send INVITE a dest=1
         hub1 expect INVITE a
