Take a reset for one also where the writer meets it first

Ruled out: the order of news in the inbox. Cause: Link._write met the reset in its send and closed the link, after which Link._read found it no longer alive and took the end for its own close; calls that stood at a restarted hub would not have been released. The writer notes it now.

--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -59,7 +59,7 @@
         self.on_message, self.on_end = on_message, on_end
         self.waiting: queue.Queue[bytes | None] = queue.Queue(QUEUE_MOST)
         self.heard_ms = self.began_ms = now_ms()
-        self.alive = True
+        self.alive, self.broken = True, False
 
     def start(self) -> None:
         start_thread("writer", self._write)
@@ -95,6 +95,7 @@
                 say("a connection whose peer does not read is closed")
                 break
             except OSError:
+                self.broken = self.alive  # guards against a reset that the writer meets before the reader
                 break
         self.close()
 
@@ -134,7 +135,7 @@
         except Exception:  # guards what is open here: a handler that goes wrong must not leave it waiting
             traceback.print_exc(file=sys.stderr)
         self.close()
-        self.on_end(self, reset)
+        self.on_end(self, reset or self.broken)
         with contextlib.suppress(queue.Full):  # full: the writer is at work, and its next send fails
             self.waiting.put_nowait(None)
         self.sock.close()
