See a reset in the state of the socket where the writer has taken its error

Seen: with the suite running the same test failed again: the writer's send takes the socket's error, and the reader may read an orderly end before the writer can say so (Link._write, Link._read). The state of the socket tells. tests/test_platform.py passes whole (76).

--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -16,6 +16,7 @@
 from landingdeal.sip.message import BrokenFraming, Framer, Malformed, Message, Oversize, encode
 
 FOREVER = float("inf")
+TCP_CLOSED = 7  # the state after a reset; after an orderly end of the peer it is CLOSE_WAIT, 8
 SKIP_MOST = 64 * 1024 * 1024  # of a message that is refused for its size: read and dropped up to here
 QUEUE_MOST = 512  # messages waiting for one peer; a peer that reads none of so many is cut off
 STACK = 256 * 1024
@@ -111,6 +112,7 @@
                     raise BlockingIOError
                 data = self.sock.recv(READ_SIZE)
                 if not data:
+                    reset = self.alive and self._torn()
                     break
                 self.heard_ms = now_ms()
                 began, whole = bool(framer.held), False
@@ -140,6 +142,12 @@
             self.waiting.put_nowait(None)
         self.sock.close()
 
+    def _torn(self) -> bool:
+        """Guards against an end that looks orderly since the writer's send took the error of a reset."""
+        with contextlib.suppress(OSError):
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_CLOSED
+        return False
+
     def _skip(self, error: Oversize) -> None:
         """Refused, then read without being kept: a close with bytes unread would overtake the refusal."""
         self.on_message(self, error.malformed)
