Make the test of a lab hub in one place, and keep no state that nothing reads

Read through the whole change: the OPTIONS to a lab hub was built twice (Hubs.watch and probe); an answer without a description took its set-up out and put it back; Callers.release sorted all connections for the first; each figure was parsed twice; the guard's told_ms was read by nothing, and so was the time handed to Guard.news. Behaviour and the tests' assertions are as before.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -201,7 +201,7 @@
                 self._module(Report(hub, True, well, latency, figures))
             case News(change):
                 self.listed.update(entry.number for entry in change.entries)
-                self.guard.news(change, self.now)
+                self.guard.news(change)
                 self._module(change)
                 for entry in change.entries:  # what stood before its process started is over
                     if entry.came_up_ms > 0:
--- a/landingdeal/core/guard.py
+++ b/landingdeal/core/guard.py
@@ -15,10 +15,10 @@
 class Listing:
     """What the guard knows of one lab hub."""
 
-    __slots__ = ("health", "told_ms", "came_up_ms", "room_per_s", "sends")
+    __slots__ = ("health", "came_up_ms", "room_per_s", "sends")
 
     def __init__(self) -> None:
-        self.health, self.told_ms, self.came_up_ms = Health.READY, float("-inf"), 0.0
+        self.health, self.came_up_ms = Health.READY, 0.0
         self.room_per_s = 0.0  # the most it ever said that it can take from all senders
         self.sends: deque[float] = deque(maxlen=256)
 
@@ -28,18 +28,17 @@
         self.set = settings
         self.hubs: dict[bytes, Listing] = {}
 
-    def news(self, change: ExchangeList, now: float) -> None:
+    def news(self, change: ExchangeList) -> None:
         named = set()
         for entry in change.entries:
             named.add(entry.exchange)
             hub = self.hubs.setdefault(entry.exchange, Listing())
-            if hub.health is not entry.health:
-                hub.health, hub.told_ms = entry.health, now
+            hub.health = entry.health
             hub.came_up_ms = max(hub.came_up_ms, entry.came_up_ms)
         if change.kind in (ListKind.WHOLE, ListKind.REMEMBERED):
             for name, hub in self.hubs.items():
-                if name not in named and hub.health is not Health.GONE:
-                    hub.health, hub.told_ms = Health.GONE, now
+                if name not in named:
+                    hub.health = Health.GONE
         gone = [name for name, hub in self.hubs.items() if hub.health is Health.GONE]
         for name in gone[:-GONE_MOST]:  # guards the memory on days when each lab hub is a new one
             del self.hubs[name]
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -25,7 +25,6 @@
 STATUS = {Why.FAILED: 500, Why.FORBIDDEN: 403}  # all others: 503, trying again is harmless
 SETTLE_MS = 1000.0  # a release whose connection closes so soon after it is sent again on another
 
-
 NUMBER_MOST = 0xFFFF  # of lab hubs
 WIDTH_MOST = 255
 RANGES = {"dest": (0, NUMBER_MOST), "width": (1, WIDTH_MOST), "via": (-1, NUMBER_MOST), "transit": (0, 1),
@@ -53,9 +52,10 @@
         if part.strip():
             name, _, value = (word.strip() for word in part.partition(":"))
             low, high = RANGES.get(name, (-999999999, 999999999))
-            if name in found or not low <= whole(value) <= high:
+            number = whole(value)
+            if name in found or not low <= number <= high:
                 raise ValueError(f"{name[:20]} is out of range or told twice")
-            found[name] = whole(value)
+            found[name] = number
     return found
 
 
@@ -245,13 +245,13 @@
             self.links.get(link, {}).pop(call, None)
 
     def release(self, call: str, cause: int, first: CallerLink | None = None) -> None:
-        """Goes out on any connection from callers: its own, else the one heard last, else the next."""
+        """Goes out on any connection from callers: its own, else one that calls stood on, else the next."""
         with self.lock:
             if first is None or first not in self.links or not first.alive:
                 # guards against telling it to whoever just connected, or asked for nothing that can stand
                 heard = (link for link in self.links if link.alive and link.trust)
-                alive = sorted(heard, key=lambda link: (link.trust, link.heard_ms))
-                first = alive[-1] if alive else None
+                best = max(heard, key=lambda link: (link.trust, link.heard_ms), default=None)
+                first = best
             if first is None:
                 self.unheard[call] = (now_ms(), cause)
                 while len(self.unheard) > UNHEARD_MOST:
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -153,8 +153,7 @@
                 self.inbox.tell(Probed(hub.name, False, probing.deadline_ms - probing.sent_ms))
             for link in unsure:
                 # replaced while it was silent: a process that was restarted meanwhile answers with a reset
-                link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", f"{0:016x}"),
-                                  ("cseq", "1 OPTIONS")))  # fmt: skip
+                link.send(self._test(f"{0:016x}"))
             for link in spare:
                 link.close()
             if died:
@@ -346,6 +345,9 @@
             link.send(request("CANCEL", offer.uri, self.via, ("call-id", offer.call), ("cseq", "1 CANCEL")))
         return mute
 
+    def _test(self, key: str) -> Message:
+        return request("OPTIONS", "sip:load@net", self.via, ("call-id", key), ("cseq", "1 OPTIONS"))
+
     def _bye(self, call: str) -> Message:
         return request("BYE", "sip:hub@net", self.via, ("call-id", call), ("cseq", "2 BYE"),
                        reason_header(16))  # fmt: skip
@@ -373,7 +375,7 @@
             hub.probes[key] = Probing(now, deadline_ms)
             link = hub.link
         if link is not None:
-            link.send(request("OPTIONS", "sip:load@net", self.via, ("call-id", key), ("cseq", "1 OPTIONS")))
+            link.send(self._test(key))
 
     # --- what lab hubs say ---
 
@@ -407,16 +409,14 @@
         call = message.call_id
         link.final_ms = now_ms()
         with hub.wake:
-            attempt = hub.open.get(link, {}).pop(call, None)
-            given_up = attempt is None and call in link.given_up
+            here = hub.open.get(link, {})
+            if call not in here and call not in link.given_up:
+                return  # a second copy, or of an id that is not ours: what stands is not touched by it
+            if message.status < 300 and not is_description(message.body):
+                # its set-up stays open here, and ends with the connection
+                raise BrokenFraming(f"{hub.name!r} sent what is no description")
+            attempt = here.pop(call, None)
             link.given_up.pop(call, None)
-        if attempt is None and not given_up:
-            return  # a second copy, or of an id that is not ours: what stands is not touched by it
-        if message.status < 300 and not is_description(message.body):
-            if attempt is not None:
-                with hub.wake:  # it ends with its connection
-                    hub.open.setdefault(link, {})[call] = attempt
-            raise BrokenFraming(f"{hub.name!r} sent what is no description")
         link.send(request("ACK", attempt.offer.uri if attempt else "sip:hub@net", self.via, ("call-id", call),
                           ("cseq", f"{message.cseq[0]} ACK")))  # fmt: skip
         if attempt is None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -258,7 +258,7 @@
 
 def guarded() -> tuple[Guard, Exchange]:
     guard = Guard(SET)
-    guard.news(ExchangeList(ListKind.WHOLE, (Listed(HUB, 1, Health.READY, 0.0),)), 0.0)
+    guard.news(ExchangeList(ListKind.WHOLE, (Listed(HUB, 1, Health.READY, 0.0),)))
     return guard, Exchange(Offer("a", "sip:a@net", "voice", 1, 9000.0, b"", Caller()), 1)
 
 
@@ -271,9 +271,9 @@
     assert "rule 2" in guard.objection(exchange, HUB, 500.0)
     exchange.attempt = None
     for health in (Health.DRAINING, Health.GONE):
-        guard.news(ExchangeList(ListKind.CHANGES, (Listed(HUB, 1, health, 0.0),)), 500.0)
+        guard.news(ExchangeList(ListKind.CHANGES, (Listed(HUB, 1, health, 0.0),)))
         assert "rule 3" in guard.objection(exchange, HUB, 501.0)
-    guard.news(ExchangeList(ListKind.WHOLE, ()), 600.0)
+    guard.news(ExchangeList(ListKind.WHOLE, ()))
     assert "rule 3" in guard.objection(exchange, HUB, 601.0)
     assert "rule 1" in guard.objection(exchange, HUB, 9000.0)
     exchange.withdraw()
@@ -283,7 +283,7 @@
 def test_the_guard_keeps_a_cold_hub_within_its_budget() -> None:
     guard, exchange = guarded()
     guard.room(HUB, 30.0)
-    guard.news(ExchangeList(ListKind.CHANGES, (Listed(HUB, 1, Health.READY, 10_000.0),)), 10_000.0)
+    guard.news(ExchangeList(ListKind.CHANGES, (Listed(HUB, 1, Health.READY, 10_000.0),)))
     exchange.deadline_ms = 1e9
     sent = 0
     while not guard.objection(exchange, HUB, 10_500.0):
