--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 test: lint types unit
 
 lint: .ci-venv
-	$(CI)/ruff check badgerstile landingdeal tests
+	$(CI)/ruff check badgerstile landingdeal tests benchmarks
 
 types: .ci-venv
 	$(CI)/mypy
--- a/landingdeal/__main__.py
+++ b/landingdeal/__main__.py
@@ -16,6 +16,7 @@
 from landingdeal.core.broker import Broker, Inbox
 from landingdeal.core.contracts import Contracts
 from landingdeal.core.events import Budgets, News, Stop
+from landingdeal.core.lifecycle import Lifecycle, Phase, Times
 from landingdeal.log import say
 from landingdeal.net.bus import BusReader
 from landingdeal.net.callers import Callers
@@ -27,8 +28,8 @@
 from landingdeal.sip.front import SipFront
 
 READY_MS = 1000.0  # a test is passed once all lab hubs are connected, at the latest so long after the start
-FLUSH_MS = 100.0  # for the last answers to leave the writers' queues
-RELEASES_MS = 2000.0  # for the SIP front's last releases to be answered
+LOOK_MS = 10.0  # between looks at what is still to be written when the core has ended
+RELEASES = Times(flush=2000.0)  # for the SIP front's last releases to be answered
 
 
 def read_platform(path: str) -> Config:
@@ -55,11 +56,11 @@
     signal.signal(signal.SIGHUP, lambda _signal, _frame: start_thread("reload", once))
 
 
-def run(broker: Broker, stopping: Callable[[], None]) -> None:
-    """Until SIGTERM, and then until every call has its answer."""
+def run(broker: Broker, flush: Callable[[], int]) -> None:
+    """Until SIGTERM, then until every call has its answer and `flush` counts nothing left to be written."""
+    life = broker.life
 
     def stop(_signal: int, _frame: object) -> None:
-        stopping()
         start_thread("stop", lambda: broker.inbox.tell(Stop()))
 
     signal.signal(signal.SIGTERM, stop)
@@ -68,15 +69,23 @@
     core.start()
     while core.is_alive():
         core.join(1.0)
+    life.core_gone(now_ms())
+    while True:
+        left = flush()
+        life.flush_looks(left, now_ms())
+        if life.phase is Phase.ENDED:
+            break
+        time.sleep(seconds_until(now_ms() + LOOK_MS))
+    say(f"stopped{f', {left} connections not idle' if left else ''}")
 
 
 def platform(path: str, where: str) -> None:
     config, operator = read_platform(path), read_operator_file(where)
-    inbox = Inbox()
+    inbox, life = Inbox(), Lifecycle()
     hubs = Hubs(config.settings, inbox, f"{config.host}:{config.port}", config.dial_ms)
-    callers = Callers(config.settings, inbox, config.host, config.port, config.sockets)
+    callers = Callers(config.settings, inbox, config.host, config.port, config.sockets, life)
     contracts = Contracts(operator.contracts)
-    broker = Broker(config.settings, config.seed, inbox, hubs, callers.release, contracts)
+    broker = Broker(config.settings, config.seed, inbox, hubs, callers.release, contracts, life)
 
     def told(event: TopologyEvent) -> None:
         for name, where, gone in event.addresses:
@@ -102,31 +111,22 @@
     reloads(reread)
     bus.start()
     start_thread("ready", ready)
-    run(broker, callers.stop)
-    time.sleep(seconds_until(now_ms() + FLUSH_MS))
-    say("stopped")
+    run(broker, callers.flush)
 
 
 def sip(operator: Operator, where: str) -> None:
     assert operator.sip is not None and operator.settings is not None
-    inbox = Inbox()
+    inbox, life = Inbox(), Lifecycle(RELEASES)
     seed = int.from_bytes(os.urandom(8), "big")
-    front = SipFront(operator.sip, operator.settings, inbox, seed)
+    front = SipFront(operator.sip, operator.settings, inbox, seed, life)
     contracts = Contracts(operator.contracts)
-    broker = Broker(operator.settings, seed, inbox, front, lambda call, cause: None, contracts)
+    broker = Broker(operator.settings, seed, inbox, front, lambda call, cause: None, contracts, life)
     listed = tuple(Listed(hub.name, hub.number, Health.READY, 0.0) for hub in operator.sip.hubs)
     inbox.tell(News(ExchangeList(ListKind.REMEMBERED, listed)))
     reloads(lambda: inbox.tell(Budgets(read_operator_file(where).contracts)))
     front.start(operator.capture_in, operator.capture_out)
     say(f"SIP front on {operator.sip.host}:{operator.sip.port}, UDP and TCP")
-    run(broker, lambda: None)
-    front.release_all()
-    until = now_ms() + RELEASES_MS
-    while now_ms() < until:
-        time.sleep(seconds_until(now_ms() + 50))
-        if front.quiet():
-            break
-    say("stopped")
+    run(broker, front.flush)
 
 
 def main() -> int:
@@ -154,4 +154,7 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    sys.stdout.flush()
+    # without the interpreter's own end: threads that still read and write would go on in the midst of it
+    os._exit(code)
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -49,11 +49,13 @@
     Probed,
     Stood,
     Stop,
+    Unreadable,
     Why,
     Withdrawn,
 )
 from landingdeal.core.exchange import Exchange, Standing
 from landingdeal.core.guard import Guard
+from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import say
 
 INBOX_MOST = 4096  # set-ups above this are refused by the front at once
@@ -66,9 +68,9 @@
 CAUSE_CUT = 41  # the call was cut; 16 is an ordinary end
 WHY = {Reason.LINES_BUSY: Why.BUSY}
 
-Timer = Attempt | Woken | Stop | str
-STOP_TAKES_MS = 750.0  # after SIGTERM set-ups still come for 0.6 s
-STOP_ANSWERS_MS = 3400.0  # and the program is killed 3.7 s after it at the earliest: all is answered by then
+LOOK_MS = 20.0  # while the program is ending
+
+Timer = Attempt | Woken | str
 
 
 class Inbox:
@@ -93,8 +95,8 @@
         """For the core's own thread, which must not wait for room: it alone makes room."""
         self.own.append(event)
 
-    def empty(self) -> bool:
-        return not self.own and self.queue.empty()
+    def size(self) -> int:
+        return len(self.own) + self.queue.qsize()
 
     def take(self, until_ms: float) -> Iterator[Arrival]:
         """Waits until something comes or `until_ms`; then all that is there, up to a batch."""
@@ -121,6 +123,7 @@
         hubs: HubSide,
         released: Callable[[str, int], None],
         contracts: Contracts | None = None,
+        life: Lifecycle | None = None,
     ) -> None:
         settings = replace(settings, release_ms=settings.release_ms + RELEASE_MARGIN_MS)
         self.set = settings
@@ -139,30 +142,34 @@
         self.timers: list[tuple[float, int, Timer]] = []
         self.order = itertools.count()
         self.now = now_ms()
-        self.stopping = False
-        self.stop_ms = float("-inf")
+        self.life = life or Lifecycle()
         room = [n for n, f in enumerate(settings.figures) if f is Figure.ROOM_PER_S]
         self.room_at = room[0] if room else -1
 
     # --- the loop ---
 
     def run(self) -> None:
-        while not self.inbox.closed or not self.inbox.empty() or self.open:
+        while self.life.core_runs:
             self.turn()
-            if self.stopping and not self.open and now_ms() >= self.stop_ms:
-                self.inbox.closed = True  # from here on the front refuses; what had come in is still answered
 
     def turn(self) -> None:
         """One batch: all of it happens at one time, as the decision module expects."""
         due = self.timers[0][0] if self.timers else now_ms() + 1000
-        if self.stopping:
-            due = min(due, max(self.stop_ms, now_ms() + 20))
+        if not self.life.well:
+            due = min(due, now_ms() + LOOK_MS)
         batch = list(self.inbox.take(due))
         self.now = now_ms()
         for event in batch:
             self._safely(event)
         while self.timers and self.timers[0][0] <= self.now:
             self._safely(heapq.heappop(self.timers)[2])
+        if not self.life.well:
+            # guards against what the kill would find unanswered
+            if self.life.core_looks(len(self.open), self.inbox.size(), self.now):
+                for exchange in list(self.open.values()):
+                    if exchange.refuse(self._come_back(), exchange.why):
+                        self._drop(exchange)
+            self.inbox.closed = not self.life.takes
 
     def _safely(self, event: Arrival | Timer) -> None:
         try:
@@ -184,6 +191,11 @@
                 self._offered(event)
             case Withdrawn():
                 self._withdrawn(event)
+            case Unreadable(call, caller):
+                exchange = self.open.get(call)
+                ours = exchange is not None and exchange.offer.caller.origin is caller.origin
+                if ours and exchange is not None and exchange.refuse(self._come_back(), exchange.why):
+                    self._drop(exchange)
             case Stood():
                 self._stood(event)
             case Ended():
@@ -208,13 +220,8 @@
                         self._hub_died(entry.exchange, entry.came_up_ms)
             case Budgets(contracts):
                 self.contracts.replace(contracts, self.now)
-            case Stop() if not self.stopping:
-                self.stopping, self.stop_ms = True, self.now + STOP_TAKES_MS
-                self._at(self.now + STOP_ANSWERS_MS, event)
-            case Stop():  # guards against what the kill would find unanswered
-                for exchange in list(self.open.values()):
-                    if exchange.refuse(self._come_back(), exchange.why):
-                        self._drop(exchange)
+            case Stop():
+                self.life.stop(self.now)
             case Attempt():
                 self._attempt_due(event)
             case Woken():
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -98,6 +98,14 @@
     caller: CallerSide
 
 
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """What the caller's connection carries can't be read any further: an answer is owed, and at once."""
+
+    call: str
+    caller: CallerSide
+
+
 @dataclass(frozen=True, slots=True)
 class Stood:
     attempt: Attempt
@@ -171,6 +179,6 @@
 
 
 Arrival = (
-    Offer | Withdrawn | Stood | Ended | HubReleased | CallerReleased
+    Offer | Withdrawn | Unreadable | Stood | Ended | HubReleased | CallerReleased
     | HubDied | GroupState | Probed | News | Budgets | Stop
 )  # fmt: skip
--- /dev/null
+++ b/landingdeal/core/lifecycle.py
@@ -0,0 +1,168 @@
+"""The end of life, of the program and of each connection from callers: who may go, and when.
+
+No I/O and no clock: whoever holds it tells what is seen and asks what may be done. The program moves only
+forward:
+
+    RUNNING    accepts connections and takes set-ups
+    DRAINING   asked to stop: its test fails, so that no new caller is sent here; whoever comes is served
+    FINISHING  nobody comes any more: set-ups are refused at once, what is open gets its answer
+    FLUSHING   the core has ended: what is owed is refused, each connection goes once all is written
+    ENDED      the process may exit
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Phase(IntEnum):
+    RUNNING = 0
+    DRAINING = 1
+    FINISHING = 2
+    FLUSHING = 3
+    ENDED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """Milliseconds after the stop. The kill comes 3,700 ms after it at the earliest."""
+
+    takes: float = 750.0  # callers may still come for 0.6 s
+    answers: float = 3400.0  # by then every open call has been answered
+    ends: float = 3600.0  # and by then the process has exited, whatever is left
+    flush: float = 1000.0  # the most, counted from when the core ended: for a peer that does not read
+
+
+class Lifecycle:
+    """One thread at a time moves it: the core's until the core ends, then the main thread."""
+
+    def __init__(self, times: Times = Times()) -> None:  # noqa: B008 (frozen)
+        self.times = times
+        self.watchers: list[Callable[[], None]] = []  # told of each new phase; none may block
+        self._phase = Phase.RUNNING
+        self.stop_ms = float("inf")
+        self.flush_ms = float("inf")  # when the core ended
+        self.doors = 0  # listeners that may still hold connections
+
+    @property
+    def phase(self) -> Phase:
+        return self._phase
+
+    def _enter(self, phase: Phase) -> None:
+        self._phase = phase
+        for watcher in self.watchers:
+            watcher()
+
+    # --- what is asked ---
+
+    @property
+    def well(self) -> bool:
+        """Whether a test is passed."""
+        return self.phase is Phase.RUNNING
+
+    @property
+    def accepts(self) -> bool:
+        return self.phase <= Phase.DRAINING
+
+    @property
+    def takes(self) -> bool:
+        """Whether set-ups are taken; they are refused at once where not."""
+        return self.phase <= Phase.DRAINING
+
+    @property
+    def core_runs(self) -> bool:
+        return self.phase <= Phase.FINISHING
+
+    @property
+    def due_ms(self) -> float:
+        """When the phase ends at the latest; infinity while nobody asked to stop."""
+        match self.phase:
+            case Phase.RUNNING:
+                return float("inf")
+            case Phase.DRAINING:
+                return self.stop_ms + self.times.takes
+            case Phase.FINISHING:
+                return self.stop_ms + self.times.answers
+            case _:
+                return min(self.flush_ms + self.times.flush, self.stop_ms + self.times.ends)
+
+    # --- what is told ---
+
+    def stop(self, now: float) -> bool:
+        """False if it had been asked before: a second signal hurries nothing."""
+        if self.phase is not Phase.RUNNING:
+            return False
+        self.stop_ms = now
+        self._enter(Phase.DRAINING)
+        return True
+
+    def core_looks(self, open_calls: int, inbox: int, now: float) -> bool:
+        """After each batch; `inbox` counts what the core has not handled. True: all that is open is refused.
+
+        A listener that was not emptied yet holds the end back: who waits there was let in by the machine.
+        """
+        overdue = False
+        if self.phase is Phase.DRAINING and now >= self.due_ms:
+            self._enter(Phase.FINISHING)
+        if self.phase is Phase.FINISHING:
+            overdue = now >= self.due_ms
+            if overdue or not (self.doors or inbox or open_calls):
+                self._core_ended(now)
+        return overdue and open_calls > 0
+
+    def core_gone(self, now: float) -> None:
+        """The core's thread is no more, for whatever reason: there is nobody left to decide."""
+        if self.core_runs:
+            self.stop_ms = min(self.stop_ms, now)
+            self._core_ended(now)
+
+    def _core_ended(self, now: float) -> None:
+        self.flush_ms = now
+        self._enter(Phase.FLUSHING)
+
+    def flush_looks(self, connections: int, now: float) -> None:
+        """`connections` counts those that may not go yet, and releases that are not through."""
+        if self.phase is Phase.FLUSHING and (not connections or now >= self.due_ms):
+            self._enter(Phase.ENDED)
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """One connection from a caller, as it is at one moment."""
+
+    owed: int  # set-ups taken whose final answer is not queued yet
+    unsent: int  # messages queued that the system has not taken yet
+    unread: bool  # bytes the system has received that were not handled to the end
+
+
+def may_go(held: Held) -> bool:
+    """Whether nothing taken stands on it. What comes after this moment crosses the close."""
+    return held.owed == 0 and held.unsent == 0 and not held.unread
+
+
+@dataclass(frozen=True, slots=True)
+class Idler:
+    """A connection with no set-up open, as a candidate to be closed for room."""
+
+    number: int  # the caller's of `spare`
+    heard_ms: float
+    began_ms: float
+    known: bool  # it has sent something whole
+
+
+KEPT = 4  # so many of the idle are kept all the same: a release may need one
+IDLE_MS = 8000.0  # a usual caller closes after 4 s without a call: this one only holds its connection
+FRESH_MS = 200.0  # after its connect a usual caller has sent its set-up
+
+
+def spare(idle: Iterable[Idler], crowded: int, now: float) -> list[int]:
+    """Which may be closed, first to go first: those that say nothing, then the idlest.
+
+    `crowded`: how many have to go for room; zero or less where there is room, and then only the idle go.
+    """
+    order = sorted(idle, key=lambda one: (one.known or now - one.began_ms < FRESH_MS, one.heard_ms))
+    old = [one for one in order[:-KEPT] if now - one.heard_ms > IDLE_MS]
+    # all candidates: one that turns out not to be idle is passed over for the next
+    return [one.number for one in (order if len(old) < crowded else old)]
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -8,18 +8,17 @@
 
 from badgerstile.interface import Settings
 from landingdeal.clock import now_ms
+from landingdeal.core import steps
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import CallerReleased, Offer, Why, Withdrawn
-from landingdeal.net.link import CallerLink, Link, serve
+from landingdeal.core.events import CallerReleased, Offer, Unreadable, Why, Withdrawn
+from landingdeal.core.lifecycle import Idler, Lifecycle, may_go, spare
+from landingdeal.net.link import CallerLink, Door
 from landingdeal.sip.headers import ALLOW, reason_header
 from landingdeal.sip.message import TOO_LARGE, Malformed, Message, request, response
 
 LINKS_PART = 0.4  # of the descriptors: callers hold a third at most; above this the idlest is closed
 BURST_PART = 0.6  # and above this, while those are being closed, whoever comes
-IDLE_MS = 8000.0  # a usual caller closes after 4 s without a call: this one only holds its connection
-KEPT = 4  # so many of the idle are kept all the same: a release may need one
 SWEEP_MS = 500.0
-FRESH_MS = 200.0  # after its connect a usual caller has sent its set-up
 UNHEARD_MOST = 2000  # releases that no caller was there to hear
 UNHEARD_MS = 15000.0  # so long such a release is kept
 STATUS = {Why.FAILED: 500, Why.FORBIDDEN: 403}  # all others: 503, trying again is harmless
@@ -68,10 +67,11 @@
 class Caller:
     """Where one call's answer goes: the connection it came on, and its set-up to answer to."""
 
-    __slots__ = ("front", "link", "invite")
+    __slots__ = ("front", "link", "invite", "answered")
 
     def __init__(self, front: Callers, link: CallerLink, invite: Message) -> None:
         self.front, self.link, self.invite = front, link, invite
+        self.answered = False
 
     @property
     def origin(self) -> object:
@@ -81,22 +81,36 @@
         return self.link.alive
 
     def answer(self, description: bytes) -> None:
-        self.front.closed_set_up(self.link, self.invite.call_id)
         self.link.trust = 2
-        self.link.send(response(self.invite, 200, body=description))
+        self._final(response(self.invite, 200, body=description))
 
     def refuse(self, come_back_ms: float, why: Why) -> None:
-        self.front.closed_set_up(self.link, self.invite.call_id)
         later = (("x-later-ms", str(int(come_back_ms))),) if come_back_ms > 0 else ()
-        self.link.send(response(self.invite, STATUS.get(why, 503), *later))
+        self._final(response(self.invite, STATUS.get(why, 503), *later))
+
+    def _final(self, message: Message) -> None:
+        """Queued before it counts as answered: in between, the connection would look idle and could go."""
+        steps.at(steps.ANSWERED)
+        self.answered = True
+        self.link.send(message)
+        steps.at(steps.QUEUED)
+        self.front.closed_set_up(self)
 
     def release(self, cause: int) -> None:
         self.front.release(self.invite.call_id, cause, self.link)
 
 
 class Callers:
-    def __init__(self, settings: Settings, inbox: Inbox, host: str, port: int, sockets: int) -> None:
-        self.inbox = inbox
+    def __init__(
+        self,
+        settings: Settings,
+        inbox: Inbox,
+        host: str,
+        port: int,
+        sockets: int,
+        life: Lifecycle | None = None,
+    ) -> None:
+        self.inbox, self.life = inbox, life or Lifecycle()
         self.via = f"SIP/2.0/TCP {host}:{port}"
         self.later_ms = settings.max_retry_advice_ms or 1000.0
         self.patience_most = 2 * max(kind.deadline_ms for kind in settings.classes)
@@ -107,24 +121,52 @@
         self.unheard: OrderedDict[str, tuple[float, int]] = OrderedDict()
         self.told: deque[tuple[float, str, int, CallerLink]] = deque(maxlen=UNHEARD_MOST)
         self.ready = threading.Event()
-        self.stopping = False
-        self.listener = serve(host, port, self._accepted)
+        self.life.doors += 1
+        self.door = Door(host, port, self._accepted, lambda: self.life.accepts, self._shut)
+        self.life.watchers.append(self.door.wake)
 
-    def stop(self) -> None:
-        """From now on a test fails, so that no new caller is sent here; whoever comes is still answered."""
-        self.stopping = True
+    def _shut(self) -> None:
+        self.life.doors -= 1
+
+    def flush(self) -> int:
+        """After the core has ended: refuses what is still owed, closes what may go; how many may not yet."""
+        with self.lock:
+            left = list(self.links.items())
+        for link, open_here in left:
+            for caller in list(open_here.values()):
+                if not caller.answered:
+                    caller.refuse(self.later_ms, Why.TURNED_AWAY)
+            self._close_if_idle(link)
+        return sum(link.alive for link, _ in left)
+
+    def _close_if_idle(self, link: CallerLink) -> bool:
+        """Guards whoever has asked meanwhile. Under the lock: no set-up can be opened on it in between."""
+        steps.at(steps.CLOSING)
+        with self.lock:
+            open_here = self.links.get(link)
+            if open_here is None or not may_go(link.held(len(open_here))):
+                return False
+            link.close()
+        return True
 
     def _accepted(self, sock: socket.socket) -> None:
         with self.lock:
             if len(self.links) >= self.links_limit:
                 sock.close()
                 return
-            link = CallerLink(sock, self._on_message, self._on_end)
+            link = CallerLink(sock, self._message, self._ended, self._unreadable, self._owed)
             self.links[link] = {}
-            spare = self._spare()
-        link.start()
-        for idle in spare:
-            idle.close()
+        try:
+            link.start()
+        except RuntimeError:  # the system has no thread left
+            with self.lock:
+                del self.links[link]
+            raise
+        self._sweep()
+
+    def _owed(self, link: CallerLink) -> int:
+        with self.lock:
+            return len(self.links.get(link, ()))
 
     def _trusted(self, link: CallerLink) -> None:
         """What it sends is whole: releases that nobody was there to hear go out here."""
@@ -135,26 +177,28 @@
             if now_ms() - at < UNHEARD_MS:
                 self.release(call, cause, link)
 
-    def _spare(self) -> list[CallerLink]:
+    def _sweep(self) -> None:
         """Guards descriptors and usual callers against those who ask once, or never, and hold on."""
         now = now_ms()
-        crowded = sum(link.alive for link in self.links) - self.links_most
-        if crowded <= 0 and now < self.swept_ms + SWEEP_MS:
-            return []
-        self.swept_ms = now
-        idle = [link for link, open_here in self.links.items() if link.alive and not open_here]
-        # first those that connected and say nothing, then the idlest
-        idle.sort(key=lambda link: (link.trust > 0 or now - link.began_ms < FRESH_MS, link.heard_ms))
-        old = [link for link in idle[:-KEPT] if now - link.heard_ms > IDLE_MS]
-        return old if len(old) >= crowded else idle[: max(crowded, 0)]
-
-    def _on_message(self, link: Link, message: Message | Malformed) -> None:
-        assert isinstance(link, CallerLink)
-        self._message(link, message)
-
-    def _on_end(self, link: Link, reset: bool) -> None:
-        assert isinstance(link, CallerLink)
-        self._ended(link, reset)
+        with self.lock:
+            crowded = sum(link.alive for link in self.links) - self.links_most
+            if crowded <= 0 and now < self.swept_ms + SWEEP_MS:
+                return
+            self.swept_ms = now
+            idle = [link for link, open_here in self.links.items() if link.alive and not open_here]
+        most = crowded
+        told = (Idler(n, link.heard_ms, link.began_ms, link.trust > 0) for n, link in enumerate(idle))
+        for number in spare(told, crowded, now):
+            closed = self._close_if_idle(idle[number])
+            most -= closed
+            if closed and crowded > 0 and most <= 0:
+                break
+
+    def _unreadable(self, link: CallerLink) -> None:
+        with self.lock:
+            open_here = list(self.links.get(link, {}).items())
+        for call, caller in open_here:
+            self.inbox.tell(Unreadable(call, caller))
 
     def _ended(self, link: CallerLink, reset: bool) -> None:
         with self.lock:
@@ -190,7 +234,7 @@
                 self.inbox.tell(CallerReleased(message.call_id))
             case "OPTIONS":
                 self._trusted(link)
-                well = self.ready.is_set() and not self.stopping
+                well = self.ready.is_set() and self.life.well
                 link.send(response(message, 200 if well else 503))
             case "ACK":
                 pass
@@ -231,18 +275,22 @@
             self._trusted(link)
         with self.lock:
             open_here = self.links.get(link, {})
-            twice = message.call_id in open_here  # its answer could not be told from the other's
+            known = open_here.get(message.call_id)
+            twice = known is not None and not known.answered  # its answer could not be told from the other's
             if not twice:
                 open_here[message.call_id] = caller
         if twice:
             link.send(response(message, 400))
             return
+        steps.at(steps.TAKEN)
         if not self.inbox.offer(offer):  # guards against a caller left unanswered by a full inbox
             caller.refuse(self.later_ms, Why.TURNED_AWAY)
 
-    def closed_set_up(self, link: CallerLink, call: str) -> None:
+    def closed_set_up(self, caller: Caller) -> None:
         with self.lock:
-            self.links.get(link, {}).pop(call, None)
+            open_here, call = self.links.get(caller.link, {}), caller.invite.call_id
+            if open_here.get(call) is caller:
+                del open_here[call]
 
     def release(self, call: str, cause: int, first: CallerLink | None = None) -> None:
         """Goes out on any connection from callers: its own, else one that calls stood on, else the next."""
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import os
 import queue
+import select
 import socket
 import struct
 import sys
 import threading
+import time
 import traceback
 from collections.abc import Callable
 
 from landingdeal.clock import now_ms, seconds_until
+from landingdeal.core import steps
+from landingdeal.core.lifecycle import Held
 from landingdeal.log import say
 from landingdeal.sip.message import BrokenFraming, Framer, Malformed, Message, Oversize, encode
 
@@ -20,8 +26,10 @@
 SKIP_MOST = 64 * 1024 * 1024  # of a message that is refused for its size: read and dropped up to here
 QUEUE_MOST = 512  # messages waiting for one peer; a peer that reads none of so many is cut off
 STACK = 256 * 1024
+_RECEIVED = struct.Struct("128xQ")  # tcpi_bytes_received in the system's tcp_info
 _TIMEVAL = struct.Struct("ll")  # seconds and microseconds, as the system wants them
 READ_SIZE = 16 * 1024
+NO_ROOM_MS = 50.0  # before the next accept when the system has no descriptor left
 
 
 def start_thread(name: str, work: Callable[[], None]) -> None:
@@ -61,6 +69,7 @@
         self.waiting: queue.Queue[bytes | None] = queue.Queue(QUEUE_MOST)
         self.heard_ms = self.began_ms = now_ms()
         self.alive, self.broken = True, False
+        self.handled = 0  # bytes received that have been handled to the end
 
     def start(self) -> None:
         start_thread("writer", self._write)
@@ -77,6 +86,28 @@
             return False
         return True
 
+    def unsent(self) -> int:
+        """Messages that the system has not taken yet; the one that the writer holds is counted."""
+        return self.waiting.unfinished_tasks
+
+    def unread(self) -> bool:
+        """Whether bytes have come that were not handled to the end, here or still with the system.
+
+        Compares what the system has received with what was handled: a look into the system's buffer would
+        miss what the reader has just taken from there. Between this look and a close right after it no other
+        thread of the program runs (the look keeps the interpreter's lock).
+        """
+        try:
+            told = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 192)
+            if len(told) >= _RECEIVED.size:
+                return bool(_RECEIVED.unpack_from(told)[0] != self.handled)
+            return bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False  # nothing to read, or nobody to answer
+
+    def held(self, owed: int) -> Held:
+        return Held(owed, self.unsent(), self.unread())
+
     def close(self) -> None:
         """Both threads see it: the reader at once, the writer when its queue is empty or its send fails."""
         self.alive = False
@@ -91,7 +122,9 @@
             if data is None:
                 break
             try:
+                steps.at(steps.WRITING)
                 self.sock.sendall(data)
+                self.waiting.task_done()
             except BlockingIOError:
                 say("a connection whose peer does not read is closed")
                 break
@@ -114,34 +147,43 @@
                 if not data:
                     reset = self.alive and self._torn()
                     break
+                steps.at(steps.READ)
                 self.heard_ms = now_ms()
                 began, whole = bool(framer.held), False
                 for message in framer.feed(data):
                     whole = True
                     self.on_message(self, message)
+                self.handled += len(data)
                 if not framer.held:
                     due = FOREVER if whole else due
                 elif whole or not began:
                     due = min(self.heard_ms + self.UNFINISHED_MS, FOREVER if whole else due)
         except Oversize as error:
             say(f"a connection is closed: {error}")
+            self._unreadable()
             self._skip(error)
         except BrokenFraming as error:
             say(f"a connection is closed: {error}")
+            self._unreadable()
         except BlockingIOError:
             say("a connection is closed: a message was not whole in time")
+            self._unreadable()
         except OSError:
             # guards against taking our own close for the death of the peer: what is still under way from
             # there then comes back as a reset too, and its standing calls would be thrown away
             reset = self.alive
         except Exception:  # guards what is open here: a handler that goes wrong must not leave it waiting
             traceback.print_exc(file=sys.stderr)
+            self._unreadable()
         self.close()
         self.on_end(self, reset or self.broken)
         with contextlib.suppress(queue.Full):  # full: the writer is at work, and its next send fails
             self.waiting.put_nowait(None)
         self.sock.close()
 
+    def _unreadable(self) -> None:
+        """Nothing more can be read here, but what was taken may still be owed an answer. Reader's thread."""
+
     def _torn(self) -> bool:
         """Guards against an end that looks orderly since the writer's send took the error of a reset."""
         with contextlib.suppress(OSError):
@@ -168,8 +210,27 @@
 
     FIRST_MS = 2000.0
     UNFINISHED_MS = 2000.0
+    ANSWERS_MS = 700.0  # for what is open on a connection that can't be read any further to be refused
     trust = 0  # 1: it sent what is whole, 2: a call stood; a release goes to whom it can be told
 
+    def __init__(
+        self,
+        sock: socket.socket,
+        on_message: Callable[[CallerLink, Message | Malformed], None],
+        on_end: Callable[[CallerLink, bool], None],
+        on_unreadable: Callable[[CallerLink], None],
+        owed: Callable[[CallerLink], int],
+    ) -> None:
+        super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
+        self.on_unreadable, self.owed = on_unreadable, owed
+
+    def _unreadable(self) -> None:
+        """Guards what was taken on this connection: it is refused, and written, before the close."""
+        self.on_unreadable(self)
+        until = now_ms() + self.ANSWERS_MS
+        while self.alive and (self.owed(self) or self.unsent()) and now_ms() < until:
+            time.sleep(seconds_until(min(now_ms() + 5, until)))
+
 
 class HubLink(Link):
     """A lab hub writes its messages in one go: one that stops short has spoilt its connection."""
@@ -194,23 +255,64 @@
         return now - self.unanswered_ms if self.unanswered_ms > self.heard_ms else 0.0
 
 
-def serve(host: str, port: int, on_socket: Callable[[socket.socket], None]) -> socket.socket:
-    """Listens, and hands over each accepted connection from a thread of its own."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen(512)
+class Door:
+    """Listens, and hands over each accepted connection from a thread of its own.
 
-    def accept() -> None:
+    `accepts` is asked all the while; once it says no, whoever the machine has let in by then is still handed
+    over, and only then the listener is closed and `on_shut` called.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        on_socket: Callable[[socket.socket], None],
+        accepts: Callable[[], bool] = lambda: True,
+        on_shut: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.on_socket, self.accepts, self.on_shut = on_socket, accepts, on_shut
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((host, port))
+        self.listener.listen(512)
+        self.listener.setblocking(False)
+        self.bell = os.eventfd(0, os.EFD_NONBLOCK)
+        start_thread("accept", self._run)
+
+    def wake(self) -> None:
+        """From any thread: `accepts` may have changed."""
+        os.eventfd_write(self.bell, 1)
+
+    def _run(self) -> None:
+        poll = select.poll()
+        poll.register(self.listener, select.POLLIN)
+        poll.register(self.bell, select.POLLIN)
+        while self.accepts():
+            poll.poll()
+            with contextlib.suppress(BlockingIOError):
+                os.eventfd_read(self.bell)
+            self._empty()
+        self._empty()
+        self.listener.close()
+        self.on_shut()
+
+    def _empty(self) -> None:
+        """Takes whoever waits; out of descriptors, whoever waits stays there a while."""
         while True:
             try:
-                sock, _ = listener.accept()
-            except OSError:
-                if listener.fileno() < 0:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
+                    time.sleep(seconds_until(now_ms() + NO_ROOM_MS))
                     return
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            on_socket(sock)
-
-    start_thread("accept", accept)
-    return listener
+                continue  # it was gone before it was taken
+            steps.at(steps.ACCEPTED)
+            try:
+                sock.setblocking(True)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self.on_socket(sock)
+            except Exception as error:  # guards all later ones against what goes wrong with this one
+                say(f"a connection could not be taken: {type(error).__name__} {error}")
+                sock.close()
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.sip.address import (
     MAGIC,
     BadAddress,
@@ -56,12 +57,12 @@
 class Endpoint:
     """`new_request`, `new_ack`, `server_over` and `flow_lost` are the upper half's."""
 
-    def __init__(self, config: SipConfig, seed: int) -> None:
+    def __init__(self, config: SipConfig, seed: int, life: Lifecycle) -> None:
         self.config = config
         self.timing = config.timing
         self.random = random.Random(seed)
         self.loop = Loop()
-        self.transports = Transports(config.host, config.port, self.received, self.flow_ended)
+        self.transports = Transports(config.host, config.port, self.received, self.flow_ended, life)
         self.servers: dict[str, ServerTransaction] = {}
         self.clients: dict[str, ClientTransaction] = {}
         self.strays = 0
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -23,6 +23,7 @@
     Why,
     Withdrawn,
 )
+from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import say
 from landingdeal.net.link import start_thread
 from landingdeal.sip.address import BadAddress, parse_name_addr, parse_uri
@@ -54,8 +55,11 @@
 
 
 class SipFront(Endpoint):
-    def __init__(self, config: SipConfig, settings: Settings, inbox: Inbox, seed: int) -> None:
-        super().__init__(config, seed)
+    def __init__(
+        self, config: SipConfig, settings: Settings, inbox: Inbox, seed: int, life: Lifecycle | None = None
+    ) -> None:
+        super().__init__(config, seed, life or Lifecycle())
+        self.released = self.releasing = False
         self.set, self.inbox = settings, inbox
         self.hubs = {hub.name: hub for hub in config.hubs}
         self.used = {hub.name: 0 for hub in config.hubs}
@@ -96,16 +100,17 @@
     def probe(self, hub: bytes, deadline_ms: float) -> None:
         self.loop.post(lambda: self._probe(hub, deadline_ms))
 
-    def release_all(self) -> None:
-        """At the end of the program: no dialog outlives it, so no call may."""
-        self.loop.post(self._release_all)
-
-    def quiet(self) -> bool:
-        """Nothing is awaited from a peer any more."""
+    def flush(self) -> int:
+        """After the core has ended: no call outlives the program. How much is still awaited."""
+        if not self.releasing:
+            self.releasing = True
+            self.loop.post(self._release_all)
+        if not self.released:
+            return 1
         busy = (State.CALLING, State.PROCEEDING)
-        return not any(t.state in busy for t in list(self.clients.values())) and not any(
-            side.unacked >= 0 for side in list(self.dialogs.values())
-        )
+        waiting = sum(t.state in busy for t in list(self.clients.values()))
+        unacked = sum(side.unacked >= 0 for side in list(self.dialogs.values()))
+        return waiting + unacked + self.transports.unsent()
 
     def new_request(self, transaction: ServerTransaction, key: str, to_tag: str, flow: Flow) -> None:
         message = transaction.request
@@ -591,6 +596,9 @@
         for call in list(self.calls.values()):
             if call.caller_side is not None or call.hub_side is not None:
                 self._drop_call(call, CAUSE_CUT, None)
+            elif not call.server.answered:  # it came when the core had ended already
+                self.refuse_call(call, self.set.max_retry_advice_ms, Why.TURNED_AWAY)
+        self.released = True
 
     def flow_lost(self, flow: Flow) -> None:
         """A connection closed, was reset, or never came up.
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 from landingdeal.clock import now_ms
+from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import say
-from landingdeal.net.link import Link, dial, serve, start_thread
+from landingdeal.net.link import Door, Link, dial, start_thread
 from landingdeal.sip.message import MAX_MESSAGE, Malformed, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Flow
 
@@ -85,8 +86,9 @@
         port: int,
         on_received: Callable[[Received], None],
         on_end: Callable[[TcpFlow], None],
+        life: Lifecycle,
     ) -> None:
-        self.host, self.port = host, port
+        self.host, self.port, self.life = host, port, life
         self.on_received, self.on_end = on_received, on_end
         self.lock = threading.Lock()
         self.flows: dict[Link, TcpFlow] = {}
@@ -96,9 +98,19 @@
         self.udp.bind((host, port))
 
     def start(self) -> None:
-        self.listener = serve(self.host, self.port, self._accepted)
+        self.life.doors += 1
+        self.door = Door(self.host, self.port, self._accepted, lambda: self.life.accepts, self._shut)
+        self.life.watchers.append(self.door.wake)
         start_thread("udp", self._read_udp)
 
+    def _shut(self) -> None:
+        self.life.doors -= 1
+
+    def unsent(self) -> int:
+        """Connections on which something is still to be written."""
+        with self.lock:
+            return sum(link.alive and link.unsent() > 0 for link in self.flows)
+
     def to(self, transport: str, host: str, port: int, deadline_ms: float | None = None) -> Flow:
         """A flow towards an address; a TCP connection there is used again, or dialled off this thread."""
         if transport != "TCP":
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -172,11 +172,12 @@
     stage = Stage()
     stage.offer(patience=9000.0)
     stage.give(Stop())
-    assert stage.caller.told == []
-    ((due, _, _),) = (timer for timer in stage.broker.timers if isinstance(timer[2], Stop))
-    assert due - now_ms() < 3700
-    stage.give(Stop())
-    assert stage.caller.told == [Why.TURNED_AWAY] and not stage.broker.open
+    life = stage.broker.life
+    life.core_looks(1, 0, now_ms() + life.times.takes)
+    assert stage.caller.told == [] and life.core_runs and life.due_ms - now_ms() < 3700
+    life.stop_ms -= life.times.answers  # that much later
+    stage.broker.turn()
+    assert stage.caller.told == [Why.TURNED_AWAY] and not stage.broker.open and not life.core_runs
 
 
 @pytest.mark.parametrize("mute", [True, False])
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,398 @@
+"""The end of life: who may go and when, in every order of events, and with each step of a request held."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from badgerstile.wire import read_settings
+from landingdeal.clock import now_ms, seconds_until
+from landingdeal.core import steps
+from landingdeal.core.broker import Inbox
+from landingdeal.core.events import Offer, Unreadable, Why
+from landingdeal.core.lifecycle import Held, Idler, Lifecycle, Phase, Times, may_go, spare
+from landingdeal.net.callers import Callers
+from landingdeal.sip.message import encode, request
+from tests.rig.restarts import Plan, play_round
+from tests.scenario import BODY, PATIENCE_S, SETTINGS, free_port
+
+TIMES = Times()
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["stop", "open", "close", "in", "out", "door", "shut", "core", "flush", "gone"]),
+        st.floats(0, 900),
+    ),
+    max_size=60,
+)
+
+
+class World:
+    """What the lifecycle is told of, moved by any events in any order."""
+
+    def __init__(self) -> None:
+        self.life, self.now = Lifecycle(), 1000.0
+        self.open = self.inbox = 0
+        self.entered: list[Phase] = []
+        self.life.watchers.append(lambda: self.entered.append(self.life.phase))
+
+    def step(self, what: str, later: float) -> None:
+        self.now += later
+        before = self.life.phase
+        match what:
+            case "stop":
+                assert self.life.stop(self.now) is (before is Phase.RUNNING)
+            case "open":
+                self.open += 1
+            case "close":
+                self.open = max(self.open - 1, 0)
+            case "in":
+                self.inbox += 1
+            case "out":
+                self.inbox = max(self.inbox - 1, 0)
+            case "door":
+                self.life.doors += 1
+            case "shut":
+                self.life.doors = max(self.life.doors - 1, 0)
+            case "core":
+                self._core()
+            case "gone":
+                if what == "gone" and self.life.core_runs and before is not Phase.RUNNING:
+                    self.life.core_gone(self.now)
+                    assert self.life.phase is Phase.FLUSHING
+            case "flush":
+                self.life.flush_looks(self.open, self.now)
+                if self.life.phase is Phase.ENDED and before is not Phase.ENDED:
+                    assert before is Phase.FLUSHING and (not self.open or self.now >= self.life.due_ms)
+        assert self.life.phase >= before, "it went back"
+
+    def _core(self) -> None:
+        life, before = self.life, self.life.phase
+        refuse = life.core_looks(self.open, self.inbox, self.now)
+        since = self.now - life.stop_ms
+        if before is Phase.RUNNING:
+            assert life.phase is Phase.RUNNING and not refuse
+        elif before is Phase.DRAINING and since < TIMES.takes:
+            assert life.phase is Phase.DRAINING, "callers may still come"
+        if life.phase is Phase.FLUSHING and before < Phase.FLUSHING:
+            if since < TIMES.answers:
+                assert not (self.open or self.inbox or life.doors), "the core ended with work left"
+                assert not refuse
+            else:
+                assert refuse is (self.open > 0), "what the kill would find"
+        if before <= Phase.FINISHING and since >= TIMES.answers and life.phase >= Phase.FINISHING:
+            assert life.phase is Phase.FLUSHING, "it waits past its time"
+
+
+@given(EVENTS)
+def test_it_only_moves_forward_and_never_with_work_left(events: list[tuple[str, float]]) -> None:
+    world = World()
+    for what, later in events:
+        world.step(what, later)
+    life = world.life
+    assert world.entered == sorted(set(world.entered)), "each phase is entered once, in order"
+    assert life.accepts == life.takes == (life.phase <= Phase.DRAINING)
+    assert life.well == (life.phase is Phase.RUNNING)
+    # whatever came, asked to stop it has ended before the kill
+    stop = min(life.stop_ms, world.now)
+    life.stop(stop)
+    life.core_looks(world.open, world.inbox, stop + TIMES.takes)
+    life.core_looks(world.open, world.inbox, stop + TIMES.answers)
+    assert not life.core_runs
+    life.flush_looks(1, stop + TIMES.ends)
+    assert life.phase is Phase.ENDED and TIMES.ends < 3700.0
+
+
+def test_a_calm_end_waits_for_callers_and_for_nothing_else() -> None:
+    life = Lifecycle()
+    assert life.due_ms == float("inf") and life.stop(1000.0) and not life.well and life.takes
+
+    def looks(open_calls: int, inbox: int, now: float) -> Phase:
+        life.core_looks(open_calls, inbox, now)
+        life.flush_looks(open_calls, now)
+        return life.phase
+
+    assert looks(0, 0, 1749.0) is Phase.DRAINING and life.due_ms == 1750.0
+    life.doors = 1
+    assert looks(0, 0, 1751.0) is Phase.FINISHING, "whoever waits at the door was let in by the machine"
+    life.doors = 0
+    assert looks(1, 0, 1752.0) is Phase.FINISHING
+    assert looks(0, 1, 1753.0) is Phase.FINISHING
+    life.core_looks(0, 0, 1754.0)
+    assert looks(2, 0, 1755.0) is Phase.FLUSHING and life.due_ms == 2754.0
+    assert looks(0, 0, 1756.0) is Phase.ENDED
+
+
+@given(st.integers(0, 2), st.integers(0, 2), st.booleans())
+def test_nothing_taken_stands_on_what_may_go(owed: int, unsent: int, unread: bool) -> None:
+    assert may_go(Held(owed, unsent, unread)) is ((owed, unsent, unread) == (0, 0, False))
+
+
+IDLERS = st.lists(st.tuples(st.floats(0, 20000), st.floats(0, 1000), st.booleans()), max_size=40)
+
+
+@given(IDLERS, st.integers(-5, 45))
+def test_room_is_made_by_the_idlest(rows: list[tuple[float, float, bool]], crowded: int) -> None:
+    now = 30000.0
+    idle = [Idler(n, now - age, now - age - more, known) for n, (age, more, known) in enumerate(rows)]
+    chosen = spare(idle, crowded, now)
+    assert len(set(chosen)) == len(chosen) and set(chosen) <= set(range(len(rows)))
+    if crowded > 0:
+        assert len(chosen) >= min(crowded, len(rows))
+    else:
+        assert all(rows[n][0] > 8000 for n in chosen) and len(chosen) <= max(len(rows) - 4, 0)
+    mute = [n for n, (age, more, known) in enumerate(rows) if not known and age + more >= 200]
+    place = {n: at for at, n in enumerate(chosen)}
+    for n in set(mute) & set(place):
+        assert all(place[n] < place[other] for other in place if other not in mute)
+
+
+# --- with each step of a request held ---
+
+
+class Gate:
+    """Holds the first thread that comes to a step, until it is let go."""
+
+    def __init__(self, step: str) -> None:
+        self.step, self.came, self.go = step, threading.Event(), threading.Event()
+        self.once = threading.Lock()
+        steps.hold = self._at
+
+    def _at(self, step: str) -> None:
+        if step == self.step and self.once.acquire(blocking=False):
+            self.came.set()
+            self.go.wait(PATIENCE_S)
+
+    def held(self) -> None:
+        assert self.came.wait(PATIENCE_S), f"nobody comes to {self.step}"
+
+
+@pytest.fixture(autouse=True)
+def _no_hold() -> Iterator[None]:
+    yield
+    steps.hold = None
+
+
+class Front:
+    """The callers' side in this process, with the core's part played by the test."""
+
+    def __init__(self) -> None:
+        self.inbox, self.life = Inbox(), Lifecycle()
+        settings = read_settings(json.dumps(SETTINGS).encode())
+        self.callers = Callers(settings, self.inbox, "127.0.0.1", free_port(), 1024, self.life)
+        self.where = self.callers.door.listener.getsockname()
+        self.sock = socket.create_connection(self.where)
+        self.sock.settimeout(PATIENCE_S)
+
+    def set_up(self, call: str = "a") -> None:
+        self.sock.sendall(encode(request(
+            "INVITE", f"sip:{call}@net", ("via", "SIP/2.0/TCP peer"), ("call-id", call), ("cseq", "1 INVITE"),
+            ("subject", "voice"), ("x-patience", "3000"), ("x-facts", "dest:1;width:1;via:-1"), body=BODY,
+        )))  # fmt: skip
+
+    def offered(self) -> Offer:
+        until = now_ms() + PATIENCE_S * 1000
+        (event,) = list(self.inbox.take(until))
+        assert isinstance(event, Offer), event
+        return event
+
+    def sweep(self) -> None:
+        """Too many connections are held: whoever may go goes."""
+        self.callers.links_most = 0
+        self.callers._sweep()
+
+    def gone(self) -> bool:
+        """Whether our connection has been closed; what is left to read stays there."""
+        with self.callers.lock:
+            return not any(link.alive for link in self.callers.links)
+
+    def reads(self) -> bytes:
+        return self.sock.recv(65536)
+
+    def end(self) -> None:
+        self.life.stop(0.0)
+        self.life.core_gone(0.0)
+        self.sock.close()
+
+
+@pytest.fixture
+def front() -> Iterator[Front]:
+    made = Front()
+    yield made
+    made.end()
+
+
+def in_background(work: object) -> threading.Thread:
+    assert callable(work)
+    thread = threading.Thread(target=work, daemon=True)
+    thread.start()
+    return thread
+
+
+@pytest.mark.parametrize("step", [steps.READ, steps.TAKEN])
+def test_a_connection_whose_set_up_is_being_read_does_not_go(step: str, front: Front) -> None:
+    gate = Gate(step)
+    front.set_up()
+    gate.held()
+    front.sweep()
+    assert not front.gone()
+    gate.go.set()
+    front.offered().caller.refuse(100.0, Why.TURNED_AWAY)
+    assert front.reads().startswith(b"SIP/2.0 503")
+
+
+def test_a_connection_whose_set_up_the_system_still_has_does_not_go(front: Front) -> None:
+    """The reader is held with the first set-up; the second has only reached the machine."""
+    gate = Gate(steps.TAKEN)
+    front.set_up("a")
+    gate.held()
+    front.set_up("b")
+    front.callers.closed_set_up(next(iter(front.callers.links.values()), {})["a"])  # as if it were answered
+    until = now_ms() + 200
+    while now_ms() < until:
+        front.sweep()
+        assert not front.gone()
+    gate.go.set()
+
+
+@pytest.mark.parametrize("step", [steps.ANSWERED, steps.QUEUED, steps.WRITING])
+def test_a_connection_whose_answer_is_not_out_does_not_go(step: str, front: Front) -> None:
+    front.set_up()
+    offer = front.offered()
+    gate = Gate(step)
+    answering = in_background(lambda: offer.caller.answer(BODY))
+    gate.held()
+    front.sweep()
+    assert not front.gone()
+    gate.go.set()
+    answering.join(PATIENCE_S)
+    assert front.reads().startswith(b"SIP/2.0 200")
+    until = now_ms() + PATIENCE_S * 1000
+    while not front.gone() and now_ms() < until:
+        front.sweep()
+    assert front.gone() and front.reads() == b""
+
+
+def test_a_set_up_that_comes_after_the_choice_keeps_its_connection(front: Front) -> None:
+    front.set_up()
+    front.offered().caller.answer(BODY)
+    front.reads()
+    gate = Gate(steps.CLOSING)
+    sweeping = in_background(front.sweep)
+    gate.held()
+    front.set_up("b")
+    later = front.offered()
+    gate.go.set()
+    sweeping.join(PATIENCE_S)
+    assert not front.gone()
+    later.caller.answer(BODY)
+    assert front.reads().startswith(b"SIP/2.0 200")
+
+
+@pytest.mark.parametrize(
+    "spoilt", [b"INVITE sip:b@net SIP/2.0\r\nContent-Length: x\r\n\r\n", b"INVITE sip:b@net SIP/2.0\r\nCall"]
+)
+def test_what_is_open_is_answered_before_a_spoilt_connection_goes(
+    spoilt: bytes, front: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("landingdeal.net.link.CallerLink.UNFINISHED_MS", 50.0)
+    front.set_up()
+    offer = front.offered()
+    front.sock.sendall(spoilt)
+    (event,) = list(front.inbox.take(now_ms() + PATIENCE_S * 1000))
+    assert isinstance(event, Unreadable) and event.caller is offer.caller
+    offer.caller.refuse(0.0, Why.TURNED_AWAY)
+    assert front.reads().startswith(b"SIP/2.0 503")
+    assert front.reads() == b""
+
+
+def test_a_handler_that_goes_wrong_leaves_nobody_unanswered(
+    front: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    front.set_up()
+    offer = front.offered()
+
+    def fails(link: object, message: object) -> None:
+        raise RuntimeError("on purpose")
+
+    for link in front.callers.links:
+        monkeypatch.setattr(link, "on_message", fails)
+    front.set_up("b")
+    (event,) = list(front.inbox.take(now_ms() + PATIENCE_S * 1000))
+    assert isinstance(event, Unreadable) and event.call == "a"
+    offer.caller.refuse(0.0, Why.TURNED_AWAY)
+    assert front.reads().startswith(b"SIP/2.0 503")
+
+
+def test_a_set_up_that_crossed_the_end_of_the_core_is_refused_before_the_end(front: Front) -> None:
+    gate = Gate(steps.TAKEN)
+    front.set_up()
+    gate.held()
+    front.life.stop(now_ms())
+    front.life.core_gone(now_ms())  # its reader goes on to an inbox that nobody empties any more
+    assert front.callers.flush() == 1
+    assert front.reads().startswith(b"SIP/2.0 503")
+    gate.go.set()
+    until = now_ms() + PATIENCE_S * 1000
+    while front.callers.flush() and now_ms() < until:
+        threading.Event().wait(seconds_until(now_ms() + 5))
+    assert front.reads() == b"" and not front.callers.flush()
+
+
+def test_whoever_waits_at_the_door_is_let_in_before_it_shuts(front: Front) -> None:
+    gate = Gate(steps.ACCEPTED)
+    first = socket.create_connection(front.where)
+    gate.held()
+    late = socket.create_connection(front.where)
+    late.settimeout(PATIENCE_S)
+    late.sendall(encode(request("OPTIONS", "sip:ping@net", ("call-id", "1"), ("cseq", "1 OPTIONS"))))
+    front.life.stop(0.0)
+    front.life.core_looks(0, 0, TIMES.takes)
+    assert front.life.phase is Phase.FINISHING and front.life.doors == 1
+    gate.go.set()
+    assert late.recv(100).startswith(b"SIP/2.0 503")  # its test fails: the program is ending
+    until = now_ms() + PATIENCE_S * 1000
+    while front.life.doors and now_ms() < until:
+        threading.Event().wait(seconds_until(now_ms() + 5))
+    assert front.life.doors == 0
+    first.close()
+    late.close()
+
+
+def test_a_connection_that_can_not_be_taken_shuts_no_door(
+    front: Front, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fails(link: object) -> None:
+        raise RuntimeError("can't start new thread")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("landingdeal.net.link.Link.start", fails)
+        refused = socket.create_connection(front.where)
+        refused.settimeout(PATIENCE_S)
+        assert refused.recv(1) == b""
+    front.sock.close()
+    front.sock = socket.create_connection(front.where)
+    front.sock.settimeout(PATIENCE_S)
+    front.set_up()
+    front.offered().caller.refuse(0.0, Why.TURNED_AWAY)
+    assert front.reads().startswith(b"SIP/2.0 503")
+    refused.close()
+
+
+# --- the program itself ---
+
+
+@pytest.mark.parametrize(
+    "plan", [Plan(seed=1), Plan(seed=2, connections=85, surge=40), Plan(seed=3, answers_ms=(500.0, 2500.0))]
+)
+def test_a_restart_under_load_loses_nothing(plan: Plan) -> None:
+    tally = play_round(replace(plan, load_s=(0.4, 0.4)))
+    assert tally.sent > 20 and tally.code == 0 and not tally.notes
+    assert (tally.lost, tally.twice, tally.unanswered) == (0, 0, 0)
+    assert tally.answered + tally.refused + tally.crossed + tally.turned_away == tally.sent
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -365,7 +365,8 @@
     monkeypatch.setattr(CallerLink, "UNFINISHED_MS", 300.0)
     near, far = socket.socketpair()
     ended: queue.Queue[bool] = queue.Queue()
-    CallerLink(near, lambda on, message: None, lambda on, reset: ended.put(reset)).start()
+    ended_with = lambda on, reset: ended.put(reset)  # noqa: E731
+    CallerLink(near, lambda on, message: None, ended_with, lambda on: None, lambda on: 0).start()
     far.sendall(first.encode())
     until = now_ms() + 5000
     with suppress(OSError):
@@ -401,7 +402,7 @@
     settings = read_settings(json.dumps(SETTINGS).encode())
     callers = Callers(settings, Inbox(), "127.0.0.1", free_port(), 20)
     callers.ready.set()
-    where = callers.listener.getsockname()
+    where = callers.door.listener.getsockname()
     asked = b"OPTIONS sip:ping@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
     held = []
     for _ in range(60):
@@ -413,7 +414,7 @@
     while len(callers.links) > 8 and now_ms() < until:
         time.sleep(0.01)
     assert len(callers.links) <= 8
-    callers.listener.close()
+    callers.door.listener.close()
     for sock in held:
         sock.close()
 
