Call off a hub's leg with its call, however late the core's word comes

Cause: beside other load the scenario "CANCEL before the hub has said anything" failed over TCP: hub1 got no CANCEL. Over TCP the ACK of our 487 ends the caller's transaction at once, and the call was forgotten with it; where the core was slow, its cancel came after that and found no call, and the hub went on ringing for nobody.

Change: a call that is forgotten takes its open legs with it (SipFront._forget, _cancel_leg).

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -372,7 +372,12 @@
     def _cancel(self, attempt: Attempt) -> None:
         call = self.calls.get(attempt.offer.call)
         leg = call.legs.get(attempt.number) if call is not None else None
-        if leg is None or leg.cancelled or leg.transaction is None:
+        if leg is not None:
+            self._cancel_leg(leg)
+
+    def _cancel_leg(self, leg: Leg) -> None:
+        """CANCEL, once; nothing where the attempt has come to its end."""
+        if leg.cancelled or leg.transaction is None or not leg.counted:
             return
         if leg.sides:  # guards against a call that stands for nobody: its answer crossed the core's giving up
             for side in list(leg.sides.values()):
@@ -568,6 +573,11 @@
         sides = [s for s in (call.caller_side, call.hub_side) if s is not None]
         pending = not call.server.answered or any(not side.dialog.over for side in sides)
         if not pending:
+            for leg in call.legs.values():
+                # guards a hub against ringing on for nobody: over TCP the ACK of our 487 ends the caller's
+                # transaction at once, and where the core is busy its word comes after that
+                if not leg.sides:
+                    self._cancel_leg(leg)
             self.calls.pop(call.key, None)
             self.merged.discard(call.merged_key)
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TypeVar
 
 import pytest
 
-from tests.scenario import play
-from tests.scenario_sip import SipStage
+from landingdeal.clock import now_ms
+from landingdeal.core.broker import Inbox
+from landingdeal.core.events import Attempt, Offer, Withdrawn
+from landingdeal.operator import read_operator
+from landingdeal.sip.front import SipFront
+from tests.scenario import PATIENCE_S, free_port, play
+from tests.scenario_sip import Party, SipStage, operator_file
 
 STANDS = """
         caller send INVITE a
@@ -305,3 +311,57 @@
         log = stage.end()
         print(log)
     assert "Traceback" not in log, log
+
+Told = TypeVar("Told")
+
+
+class Wireside(SipStage):
+    """The language without the program: the front runs in this process, and the test plays the core."""
+
+    def __init__(self, transport: str) -> None:
+        self.transport, self.port = transport, free_port()
+        self.parties = {"hub1": Party("hub1", transport)}
+        operator = read_operator(operator_file(self.port, self.parties))
+        assert operator.sip is not None and operator.settings is not None
+        self.inbox = Inbox()
+        self.front = SipFront(operator.sip, operator.settings, self.inbox, 1)
+        self.front.start()
+
+    def told(self, kind: type[Told]) -> Told:
+        """The next event of that kind that the core is told; others are passed over."""
+        until = now_ms() + PATIENCE_S * 1000
+        while now_ms() < until:
+            for event in self.inbox.take(until):
+                if isinstance(event, kind):
+                    return event
+        raise AssertionError(f"no {kind.__name__}")
+
+
+@pytest.mark.parametrize("transport", ["udp", "tcp"])
+def test_a_slow_core_leaves_no_hub_ringing_for_a_caller_that_gave_up(transport: str) -> None:
+    """The ACK of 487 ends the caller's transaction before the core has heard of the CANCEL."""
+    stage = Wireside(transport)
+    play(stage, "caller send INVITE a")
+    attempt = Attempt(stage.told(Offer), 0, b"hub1", now_ms(), now_ms() + 5000)
+    stage.front.set_up(attempt)
+    play(stage, """
+        hub1 expect INVITE a
+        hub1 send 180 a
+        caller expect 180 a
+        caller send CANCEL a
+        caller expect 200 a
+        caller expect 487 a
+        caller send ACK a
+        caller send OPTIONS b
+        caller expect 200 b
+    """)  # the front has taken the ACK
+    stage.told(Withdrawn)
+    stage.front.cancel(attempt)  # only now
+    play(stage, """
+        hub1 expect CANCEL a
+        hub1 send 200 a of=CANCEL
+        hub1 send 487 a
+        hub1 expect ACK a
+    """)
+    for party in stage.parties.values():
+        party.sock.close()
