Import only what the platform's front uses, and compile it at build

Need: a restarted node passed its test 0.5 to 0.7 s after its start, and a good part of that was Python reading and compiling the program, the SIP front and pcap included, which the platform never uses. `run` writes no byte code.

Change: service/on_platform.py and service/with_sip.py are what is started, each importing only its own; the sections of the operator's file are read next to what they set (core/contracts_file.py, sip/config.py); ConfigError and start_thread have modules of their own, so the SIP front's loop needs nothing of the platform's. deploy/build also compiles the modules (checked by hash, whatever the files' times) and installs new requirements where an old environment lies.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,8 @@
 
 .PHONY: build test lint types unit run sip drill clean
 
-build: .venv
-.venv:
-	$(PYTHON) -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt
+build:
+	deploy/build
 
 .ci-venv: requirements-dev.txt
 	$(PYTHON) -m venv .ci-venv
--- a/landingdeal/net/bus.py
+++ b/landingdeal/net/bus.py
@@ -11,9 +11,11 @@
 from dataclasses import replace
 
 from landingdeal.clock import now_ms, seconds_until
+from landingdeal.errors import ConfigError
 from landingdeal.log import say
-from landingdeal.net.config import ConfigError, TopologyEvent, topology_event
-from landingdeal.net.link import dial, start_thread
+from landingdeal.net.config import TopologyEvent, topology_event
+from landingdeal.net.link import dial
+from landingdeal.threads import start_thread
 
 SILENCE_MS = 2200.0  # a comment arrives every second: after so long without one the connection is dead
 DIAL_MS = 500.0
--- a/landingdeal/net/config.py
+++ b/landingdeal/net/config.py
@@ -8,14 +8,11 @@
 
 from badgerstile.interface import ExchangeList, Health, Listed, ListKind, Settings
 from badgerstile.wire import WireError, read_settings
+from landingdeal.errors import ConfigError, address
 
 HEALTH = {"up": Health.READY, "draining": Health.DRAINING, "removed": Health.GONE}
 
 
-class ConfigError(Exception):
-    """The text is the one line that the program ends with."""
-
-
 @dataclass(frozen=True, slots=True)
 class TopologyEvent:
     """One event of the event bus: the change for the core, and the addresses for the client side."""
@@ -39,13 +36,6 @@
     dial_ms: float
 
 
-def address(text: Any, what: str) -> tuple[str, int]:
-    host, colon, port = str(text).rpartition(":")
-    if not host or not colon or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"{what} is not an address: {text!r}")
-    return host, int(port)
-
-
 def topology_event(raw: Any) -> TopologyEvent:
     """Raises ConfigError on an event that is not of the event bus."""
     try:
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -11,9 +11,10 @@
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, Ended, GroupState, HubDied, HubReleased, Probed, Stood
 from landingdeal.log import say
-from landingdeal.net.link import HubLink, Link, dial, start_thread
+from landingdeal.net.link import HubLink, Link, dial
 from landingdeal.sip.headers import cause_of, figures_of, reason_header, reason_of
 from landingdeal.sip.message import BrokenFraming, Malformed, Message, request, response
+from landingdeal.threads import start_thread
 
 QUIET_MS = 2500.0  # a lab hub that has said nothing for so long is asked for a new connection
 MUTE_PART = 0.25  # of the shortest aim: or whose connection has said nothing so long after a set-up
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -10,7 +10,6 @@
 import socket
 import struct
 import sys
-import threading
 import time
 import traceback
 from collections.abc import Callable
@@ -20,23 +19,18 @@
 from landingdeal.core.lifecycle import Held
 from landingdeal.log import say
 from landingdeal.sip.message import BrokenFraming, Framer, Malformed, Message, Oversize, encode
+from landingdeal.threads import start_thread
 
 FOREVER = float("inf")
 TCP_CLOSED = 7  # the state after a reset; after an orderly end of the peer it is CLOSE_WAIT, 8
 SKIP_MOST = 64 * 1024 * 1024  # of a message that is refused for its size: read and dropped up to here
 QUEUE_MOST = 512  # messages waiting for one peer; a peer that reads none of so many is cut off
-STACK = 256 * 1024
 _RECEIVED = struct.Struct("128xQ")  # tcpi_bytes_received in the system's tcp_info
 _TIMEVAL = struct.Struct("ll")  # seconds and microseconds, as the system wants them
 READ_SIZE = 16 * 1024
 NO_ROOM_MS = 50.0  # before the next accept when the system has no descriptor left
 
 
-def start_thread(name: str, work: Callable[[], None]) -> None:
-    threading.stack_size(STACK)
-    threading.Thread(target=work, name=name, daemon=True).start()
-
-
 def dial(host: str, port: int, deadline_ms: float) -> socket.socket:
     """A connected socket, or OSError at the deadline at the latest."""
     sock = socket.create_connection((host, port), timeout=max(seconds_until(deadline_ms), 0.001))
--- /dev/null
+++ b/landingdeal/service/with_sip.py
@@ -0,0 +1,50 @@
+"""The SIP front as the operator's file says."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from badgerstile.interface import ExchangeList, Health, Listed, ListKind
+from landingdeal.core.broker import Broker, Inbox
+from landingdeal.core.contracts import Contracts
+from landingdeal.core.events import Budgets, News
+from landingdeal.core.lifecycle import Lifecycle, Times
+from landingdeal.errors import ConfigError
+from landingdeal.log import say
+from landingdeal.operator import Operator, read_operator
+from landingdeal.pcap import NotPcap
+from landingdeal.service.life import reloads, run
+from landingdeal.sip.front import SipFront
+
+RELEASES = Times(flush=2000.0)  # for the SIP front's last releases to be answered
+
+
+def read_operator_file(where: str) -> Operator:
+    return read_operator(Path(where).read_text(encoding="utf-8")) if where else Operator()
+
+
+def serve(where: str) -> None:
+    """Raises ConfigError and OSError."""
+    operator = read_operator_file(where)
+    if operator.sip is None:
+        raise ConfigError("neither ROUTER_CONFIG nor an operator's file with the SIP front enabled is named")
+    try:
+        _serve(operator, where)
+    except NotPcap as error:
+        raise ConfigError(str(error)) from None
+
+
+def _serve(operator: Operator, where: str) -> None:
+    assert operator.sip is not None and operator.settings is not None
+    inbox, life = Inbox(), Lifecycle(RELEASES)
+    seed = int.from_bytes(os.urandom(8), "big")
+    front = SipFront(operator.sip, operator.settings, inbox, seed, life)
+    contracts = Contracts(operator.contracts)
+    broker = Broker(operator.settings, seed, inbox, front, lambda call, cause: None, contracts, life)
+    listed = tuple(Listed(hub.name, hub.number, Health.READY, 0.0) for hub in operator.sip.hubs)
+    inbox.tell(News(ExchangeList(ListKind.REMEMBERED, listed)))
+    reloads(lambda: inbox.tell(Budgets(read_operator_file(where).contracts)))
+    front.start(operator.capture_in, operator.capture_out)
+    say(f"SIP front on {operator.sip.host}:{operator.sip.port}, UDP and TCP")
+    run(broker, front.flush)
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -25,7 +25,6 @@
 )
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import say
-from landingdeal.net.link import start_thread
 from landingdeal.sip.address import BadAddress, parse_name_addr, parse_uri
 from landingdeal.sip.call import Call, HubPlace, Leg, Side, SipCaller, SipConfig
 from landingdeal.sip.capture import Capture, CaptureFlow, CaptureWriter
@@ -39,6 +38,7 @@
     State,
     within,
 )
+from landingdeal.threads import start_thread
 
 CALLS_MOST = 4000
 STATUS = {Why.BUSY: 486, Why.TIMED_OUT: 408, Why.FAILED: 500, Why.FORBIDDEN: 403}
--- a/landingdeal/sip/loop.py
+++ b/landingdeal/sip/loop.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from landingdeal.clock import now_ms, seconds_until
-from landingdeal.net.link import start_thread
+from landingdeal.threads import start_thread
 
 WAITING_MOST = 8192  # pieces of work above which messages of the wire are dropped
 IDLE_MS = 1000.0
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -10,9 +10,10 @@
 from landingdeal.clock import now_ms
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import say
-from landingdeal.net.link import Door, Link, dial, start_thread
+from landingdeal.net.link import Door, Link, dial
 from landingdeal.sip.message import MAX_MESSAGE, Malformed, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Flow
+from landingdeal.threads import start_thread
 
 DIAL_MS = 2000.0
 HELD_MOST = 64  # messages that wait for a connection to come up
