Read captures into calls: pcap, pcapng, fragments, TCP, damage, and a command line for them

Need: operators hold captures of incidents and can neither look into them nor replay them; the old reader knew classic pcap alone and passed over every fragment.

Change: landingdeal/capture/ reads pcap and pcapng, plain, gzip or zstd, several files merged, in one pass and bounded memory; puts IP fragments and TCP segments together as an onlooker has to (overlaps refused, gaps given up when acknowledged or the window is full); makes calls of messages; tells each problem with file, byte and packet. The command line on click: serve, config check, capture check, info, calls, ladder; without arguments nothing of it is imported.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 build:
 	deploy/build
 
-.ci-venv: requirements-dev.txt
+.ci-venv: requirements.txt requirements-tools.txt requirements-dev.txt
 	$(PYTHON) -m venv .ci-venv
-	$(CI)/pip -q install -r requirements.txt -r requirements-dev.txt
+	$(CI)/pip -q install -r requirements.txt -r requirements-tools.txt -r requirements-dev.txt
 	touch .ci-venv
 
 test: lint types unit
--- a/landingdeal/__main__.py
+++ b/landingdeal/__main__.py
@@ -27,16 +27,12 @@
 
 
 def main() -> int:
-    where = os.environ.get("LANDINGDEAL_OPERATOR", "")
-    if len(sys.argv) > 1:
-        import argparse
-
-        parser = argparse.ArgumentParser(
-            prog="landingdeal", description="A border controller between callers and lab hubs."
-        )
-        parser.add_argument("--operator", default=where, help="the operator's file")
-        where = parser.parse_args().operator
-    return serve(where)
+    """Without arguments the program starts, and the command line is not even imported."""
+    if len(sys.argv) == 1:
+        return serve(os.environ.get("LANDINGDEAL_OPERATOR", ""))
+    from landingdeal.commands.main import run
+
+    return run(sys.argv[1:])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/landingdeal/capture/reader.py
@@ -0,0 +1,71 @@
+"""Reads captures from end to end: files merged by time, each passed over once, in bounded memory."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+
+from landingdeal.capture.formats import NotCapture, records
+from landingdeal.capture.messages import Messages, Seen
+from landingdeal.capture.problems import Kind, Problem, Problems
+from landingdeal.capture.source import Source, open_source
+
+LATE_NS = 1_000 * 10**6  # within one file, messages are put in order of time over so much of it
+
+
+@dataclass
+class Reading:
+    """What one pass found out beside the messages."""
+
+    problems: Problems = field(default_factory=Problems)
+    counts: Counter[str] = field(default_factory=Counter)
+    first_ns: int = 0
+    last_ns: int = 0
+
+    @property
+    def complete(self) -> bool:
+        """Whether all that the captures hold could be read."""
+        return not len(self.problems)
+
+
+def read(paths: Sequence[str], reading: Reading, strict_checksums: bool = False) -> Iterator[Seen]:
+    """The messages of all files in order of time. Raises OSError; what is no capture is a problem."""
+    with ExitStack() as stack:
+        ways = []
+        for path in paths:
+            source = open_source(path)
+            stack.callback(source.close)
+            ways.append(_ordered(_one(source, reading, strict_checksums)))
+        if len(ways) == 1:
+            yield from ways[0]
+        else:
+            yield from heapq.merge(*ways, key=lambda seen: seen.time_ns)
+
+
+def _one(source: Source, reading: Reading, strict: bool) -> Iterator[Seen]:
+    messages = Messages(reading.problems, source.name, strict)
+    try:
+        yield from messages.run(records(source, reading.problems))
+    except NotCapture as error:
+        reading.problems.add(Problem(Kind.NOT_A_CAPTURE, str(error), 0, 0, source.name))
+    finally:
+        reading.counts.update(messages.counts)
+        if messages.counts["packets"]:
+            first = min(reading.first_ns or messages.first_ns, messages.first_ns)
+            reading.first_ns, reading.last_ns = first, max(reading.last_ns, messages.last_ns)
+
+
+def _ordered(messages: Iterator[Seen]) -> Iterator[Seen]:
+    """In order of time, as far as packets of one file lie at most `LATE_NS` out of it."""
+    held: list[tuple[int, int, Seen]] = []
+    newest, number = 0, 0
+    for seen in messages:
+        newest, number = max(newest, seen.time_ns), number + 1
+        heapq.heappush(held, (seen.time_ns, number, seen))
+        while held and held[0][0] <= newest - LATE_NS:
+            yield heapq.heappop(held)[2]
+    while held:
+        yield heapq.heappop(held)[2]
--- /dev/null
+++ b/landingdeal/commands/main.py
@@ -0,0 +1,74 @@
+"""The group of all commands; each module is imported only when its command is asked for."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from typing import Any
+
+import click
+
+from landingdeal.errors import ConfigError
+
+FOUND, CAN_NOT = 1, 2
+LAZY = {
+    "serve": ("landingdeal.commands.serve", "serve", "Start the program, as without a command."),
+    "config": ("landingdeal.commands.config", "config", "Check configuration files."),
+    "capture": ("landingdeal.commands.capture", "capture", "Read, check and look into captures."),
+}
+
+
+class Lazy(click.Group):
+    """Knows its commands by name, and what they are by module."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(LAZY)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in LAZY:
+            return None
+        module, attribute, _ = LAZY[name]
+        made = getattr(importlib.import_module(module), attribute)
+        assert isinstance(made, click.Command)
+        return made
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, LAZY[name][2]) for name in self.list_commands(ctx)])
+
+
+@click.group(cls=Lazy, invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--operator", envvar="LANDINGDEAL_OPERATOR", default="", help="The operator's file (TOML).")
+@click.pass_context
+def group(ctx: click.Context, operator: str) -> None:
+    """A border controller between callers and lab hubs. Without a command it starts, as `serve` does."""
+    if ctx.invoked_subcommand is None:
+        from landingdeal.__main__ import serve
+
+        ctx.exit(serve(operator))
+
+
+def run(arguments: list[str]) -> int:
+    """The exit code; whatever can't be done is one line on standard error."""
+    try:
+        made: Any = group.main(args=arguments, prog_name="landingdeal", standalone_mode=False)
+        return int(made or 0)
+    except click.exceptions.Exit as ended:
+        return ended.exit_code
+    except click.ClickException as error:
+        ctx = error.ctx if isinstance(error, click.UsageError) else None
+        where = f" (see {ctx.command_path} --help)" if ctx is not None else ""
+        print(f"landingdeal: {error.format_message()}{where}", file=sys.stderr)
+        return CAN_NOT
+    except click.Abort:
+        print("landingdeal: stopped", file=sys.stderr)
+        return CAN_NOT
+    except BrokenPipeError:  # whoever read our output has enough
+        sys.stdout = None
+        return 0
+    except (ConfigError, OSError, UnicodeDecodeError) as error:
+        print(f"landingdeal: {error}", file=sys.stderr)
+        return CAN_NOT
+    except ModuleNotFoundError as error:
+        print(f"landingdeal: this needs {error.name}: pip install 'landingdeal[tools]'", file=sys.stderr)
+        return CAN_NOT
