--- /dev/null
+++ b/landingdeal/capture/plan.py
@@ -0,0 +1,142 @@
+"""From calls of a capture to a plan of offered load: what is sent, when, and after what. Pure.
+
+Open loop: each call's first message has an absolute place in the plan, whatever became of the calls before.
+What depends on answers (ACK, BYE, CANCEL) is planned as a span after them.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, replace
+
+from landingdeal.capture.calls import CallRecord, Outcome, Side
+from landingdeal.capture.retries import Policy
+from landingdeal.sip.message import Message
+
+BLOCK = 4096  # calls whose copies are drawn at once
+HOLD_MOST_MS = 24 * 3600 * 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """One call to be offered. Spans in milliseconds; -1 where the capture holds nothing of the kind.
+
+    `at_ms` is counted from the start of the replay. `copy` is 0 for the call as recorded.
+    """
+
+    index: int  # in the order of the plan; what a resumed replay counts by
+    number: int  # of the call in the capture
+    copy: int
+    at_ms: float
+    invite: Message
+    transport: str
+    class_name: str
+    patience_ms: float
+    cancel_ms: float  # after the INVITE
+    hold_ms: float  # after the final answer, until this side's BYE; -1: the other side ends it
+    recorded_ms: float  # after the INVITE, the final answer
+    recorded_status: int
+    recorded_outcome: Outcome
+    first_try: int = 0
+
+    @property
+    def name(self) -> str:
+        return f"{self.number}" if not self.copy else f"{self.number}.{self.copy}"
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """How a capture is offered."""
+
+    speed: float = 1.0  # 2: in half the time; spans within a call stay as they were
+    scale: int = 1  # so many callers for each one recorded
+    spread_ms: float = 500.0  # over which copies start after the recorded one, at exponential distances
+    seed: int = 1
+    retries: Policy = Policy.RECORDED
+    transport: str = ""  # UDP or TCP instead of the recorded one
+    linger_ms: float = 5000.0  # a call that the other side ended in the capture is ended by us so much later
+
+
+def playable(call: CallRecord) -> str:
+    """Why a call can't be offered; empty if it can."""
+    if call.invite is None or call.begun_before:
+        return "begun before the capture"
+    return ""
+
+
+def planned(call: CallRecord, first_ns: int, shape: Shape) -> Offered:
+    """The call as recorded."""
+    assert call.invite is not None
+    cancel = (call.cancel_ns - call.invite_ns) / 1e6 if call.cancel_ns >= 0 else -1.0
+    hold = -1.0
+    if call.outcome is Outcome.STOOD:
+        if call.bye_by is Side.CALLER:
+            hold = call.hold_ms
+        elif call.bye_by is Side.CALLED:
+            hold = call.hold_ms + shape.linger_ms  # it is for the other side to end it; else we do
+        else:
+            hold = shape.linger_ms  # its end is not in the capture
+    return Offered(
+        index=0, number=call.number, copy=0, at_ms=(call.invite_ns - first_ns) / 1e6 / shape.speed,
+        invite=call.invite, transport=shape.transport or call.transport, class_name=call.class_name,
+        patience_ms=call.patience_ms, cancel_ms=cancel, hold_ms=min(hold, HOLD_MOST_MS),
+        recorded_ms=call.answer_ms, recorded_status=call.status, recorded_outcome=call.outcome,
+        first_try=call.first_try,
+    )  # fmt: skip
+
+
+def copies(one: Offered, shape: Shape) -> Iterator[Offered]:
+    """The call and its copies: each with an identity of its own, started a little later."""
+    yield one
+    random_ = random.Random(f"{shape.seed}/{one.number}")
+    for copy in range(1, shape.scale):
+        later = random_.expovariate(1.0) * shape.spread_ms / shape.speed
+        yield replace(one, copy=copy, at_ms=one.at_ms + later)
+
+
+@dataclass(slots=True)
+class Left:
+    """What was not planned, and why."""
+
+    reasons: dict[str, int]
+
+    def add(self, why: str) -> None:
+        self.reasons[why] = self.reasons.get(why, 0) + 1
+
+
+def plan(
+    calls: Iterable[CallRecord], shape: Shape, left: Left, first_ns: int | None = None
+) -> list[Offered]:
+    """All calls in the order in which they are offered, numbered; `left` counts those that can't be."""
+    found: list[CallRecord] = []
+    for call in calls:
+        why = playable(call)
+        if not why and call.first_try and shape.retries is not Policy.RECORDED:
+            why = "a try again"
+        if why:
+            left.add(why)
+        else:
+            found.append(call)
+    if not found:
+        return []
+    start = min(call.invite_ns for call in found) if first_ns is None else first_ns
+    made = [one for call in found for one in copies(planned(call, start, shape), shape)]
+    made.sort(key=lambda one: (one.at_ms, one.number, one.copy))
+    return [replace(one, index=index) for index, one in enumerate(made)]
+
+
+def identity(one: Offered, tries: int, seed: int) -> tuple[str, str]:
+    """Call-ID and From tag of one try of a planned call: the same on every run with the same seed."""
+    random_ = random.Random(f"{seed}/{one.number}/{one.copy}/{tries}")
+    return f"{random_.getrandbits(64):016x}", f"r{random_.getrandbits(32):08x}"
+
+
+def fingerprint(made: Sequence[Offered]) -> str:
+    """What a saved state belongs to: two plans with the same one offer the same calls at the same times."""
+    import xxhash
+
+    digest = xxhash.xxh3_128()
+    for one in made:
+        digest.update(f"{one.number}.{one.copy}@{one.at_ms:.3f} {one.invite.call_id}\n".encode())
+    return digest.hexdigest()
--- /dev/null
+++ b/landingdeal/capture/retries.py
@@ -0,0 +1,60 @@
+"""Whether a refused call of a replay is tried again, and when. Decisions only; clock and dice are given.
+
+A replay must not become a retry storm that the capture never had: all tries again together stay under a
+stated part of the first tries, and each call has its bound.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Policy(StrEnum):
+    RECORDED = "recorded"  # tries again are calls of the capture and are offered as they were
+    MODEL = "model"  # they are left out, and refused calls are tried again by the model below
+    NONE = "none"  # they are left out, and nothing is tried again
+
+
+RETRYABLE = frozenset((408, 480, 486, 500, 503, 504))  # refusals after which a caller may try again
+
+
+@dataclass(frozen=True, slots=True)
+class Model:
+    """What callers do after a refusal. Times in milliseconds."""
+
+    most: int = 3  # tries again of one call
+    least_ms: float = 300.0  # nothing goes out again sooner, whatever was told
+    pause_ms: float = 1000.0  # where the refusal told no time to stay away; doubles with each try
+    longest_ms: float = 30_000.0
+    jitter: float = 0.25  # part of the pause, added at random: callers do not come back in step
+    budget: float = 0.5  # tries again, all calls together, for each first try so far
+
+
+class Retries:
+    """Counts first tries and tries again; `again` answers for one refused call."""
+
+    def __init__(self, policy: Policy, model: Model, random_: random.Random) -> None:
+        self.policy, self.model, self.random = policy, model, random_
+        self.first = self.granted = self.denied = 0
+
+    def offered(self) -> None:
+        """A first try has gone out."""
+        self.first += 1
+
+    def leaves_out(self, tries_again: bool) -> bool:
+        """Whether a recorded call is not offered, being a try again."""
+        return tries_again and self.policy is not Policy.RECORDED
+
+    def again(self, status: int, tries: int, told_ms: float) -> float | None:
+        """The pause before the next try; None where there is none. `tries` made so far count the first."""
+        if self.policy is not Policy.MODEL or status not in RETRYABLE:
+            return None
+        if tries > self.model.most or self.granted + 1 > self.model.budget * self.first:
+            self.denied += 1
+            return None
+        self.granted += 1
+        pause: float = told_ms if told_ms > 0 else self.model.pause_ms * 2.0 ** (tries - 1)
+        pause = min(max(pause, self.model.least_ms), self.model.longest_ms)
+        return float(pause * (1 + self.model.jitter * self.random.random()))
--- a/landingdeal/commands/capture.py
+++ b/landingdeal/commands/capture.py
@@ -4,10 +4,12 @@
 
 import csv
 import json
+import signal
 import sys
 from collections import Counter
 from collections.abc import Iterator
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Any
 
 import click
@@ -15,8 +17,10 @@
 from landingdeal.capture.calls import CallRecord, Calls
 from landingdeal.capture.problems import Kind
 from landingdeal.capture.reader import Reading, read
+from landingdeal.capture.retries import Policy
 from landingdeal.capture.views import FIELDS, as_row, call_table, ladder_of
 from landingdeal.commands.main import CAN_NOT, FOUND
+from landingdeal.errors import address
 
 FILES = click.argument("files", nargs=-1, required=True)
 JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object, for machines.")
@@ -137,6 +141,80 @@
     ctx.exit(code_of(reading))
 
 
+@capture.command()
+@FILES
+@click.option("--to", required=True, metavar="ADDRESS:PORT", help="Where the calls are offered.")
+@click.option("--transport", type=click.Choice(["udp", "tcp"]), help="Instead of the recorded one.")
+@click.option("--speed", type=click.FloatRange(0.001, 1000), default=1.0, show_default=True)
+@click.option(
+    "--scale", type=click.IntRange(1, 1000), default=1, show_default=True, help="Callers for each one."
+)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--from", "from_s", type=float, default=0.0, help="Seconds after the first call.")
+@click.option("--until", "until_s", type=float, help="Seconds after the first call.")
+@click.option("--filter", "where", default="", help="Only these calls, as: class == voice and status >= 500")
+@click.option(
+    "--retries", type=click.Choice([p.value for p in Policy]), default="recorded", show_default=True
+)
+@click.option("--outstanding", type=click.IntRange(1), default=10_000, show_default=True)
+@click.option("--per-s", type=click.FloatRange(0.1), default=5000.0, show_default=True)
+@click.option(
+    "--t1-ms", type=click.FloatRange(1, 10_000), default=500.0, show_default=True, help="RFC 3261 T1."
+)
+@click.option(
+    "--state", type=click.Path(dir_okay=False, path_type=Path), help="Progress; goes on from there."
+)
+@click.option("--calls", "each", is_flag=True, help="Also one line a call.")
+@JSON
+@click.pass_context
+def replay(
+    ctx: click.Context, /, files: tuple[str, ...], to: str, transport: str | None, **given: Any
+) -> None:
+    """Offer the calls of captures to an address, open loop. Exit code 1 where a call had no answer."""
+    from landingdeal.capture.limits import Limits
+    from landingdeal.capture.plan import Left, Shape, plan
+    from landingdeal.capture.replay import Replay
+    from landingdeal.capture.results import rows, summary
+
+    reading, left = Reading(), Left({})
+    shape = Shape(given["speed"], given["scale"], seed=given["seed"], retries=Policy(given["retries"]),
+                  transport=(transport or "").upper())  # fmt: skip
+    found = chosen(files, reading, given["where"], given["from_s"], given["until_s"])
+    made = plan(found, shape, left)
+    if not made:
+        raise click.ClickException(f"nothing to offer in {', '.join(files)}: {left.reasons or 'no calls'}")
+    limits = Limits(outstanding=given["outstanding"], per_s=given["per_s"])
+    engine = Replay(made, address(to, "--to"), shape, limits, state_file=given["state"], t1_ms=given["t1_ms"])
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: engine.stop())
+    report = engine.run()
+    told = {"planned": len(made), "left_out": left.reasons, **summary(report)}
+    if given["as_json"]:
+        if given["each"]:
+            told["each"] = list(rows(report))
+        click.echo(json.dumps(told))
+    else:
+        for row in rows(report) if given["each"] else ():
+            click.echo("  ".join(f"{name}={value}" for name, value in row.items() if value not in ("", -1)))
+        for name, value in told.items():
+            click.echo(f"{name:16} {value}")
+    ctx.exit(FOUND if told["errors"] or told["twice_answered"] or report.stopped else 0)
+
+
+def chosen(
+    files: tuple[str, ...], reading: Reading, where: str, from_s: float, until_s: float | None
+) -> Iterator[CallRecord]:
+    """The calls of a span of time and of a filter."""
+    from landingdeal.capture.language import parse
+
+    test, first = parse(where), -1
+    for call in calls_of(files, reading, False):
+        first = call.start_ns if first < 0 else min(first, call.start_ns)
+        at = (call.start_ns - first) / 1e9
+        if at >= from_s and (until_s is None or at < until_s) and test(call):
+            yield call
+
+
 @capture.command()
 @click.argument("call")
 @FILES
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -34,6 +34,17 @@
 def dial(host: str, port: int, deadline_ms: float) -> socket.socket:
     """A connected socket, or OSError at the deadline at the latest."""
     sock = socket.create_connection((host, port), timeout=max(seconds_until(deadline_ms), 0.001))
+    return _connected(sock)
+
+
+def connect(sock: socket.socket, where: tuple[str, int], deadline_ms: float) -> None:
+    """The same with a socket that is bound already."""
+    sock.settimeout(max(seconds_until(deadline_ms), 0.001))
+    sock.connect(where)
+    _connected(sock)
+
+
+def _connected(sock: socket.socket) -> socket.socket:
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
