--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 CI = .ci-venv/bin
 
-.PHONY: build test lint types unit run sip drill clean
+.PHONY: build test lint types unit run sip drill demo clean
 
 build:
 	deploy/build
@@ -31,5 +31,9 @@
 drill: build
 	.venv/bin/python -B -m badgerstile.drill
 
+demo: build
+	.venv/bin/pip -q install -r requirements-tools.txt
+	.venv/bin/python -m landingdeal demo
+
 clean:
 	rm -rf .venv .ci-venv .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/landingdeal/capture/rotation.py
@@ -0,0 +1,44 @@
+"""When a capture file that is being written is closed, and which closed ones go. Decisions only."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """0: without that bound."""
+
+    file_bytes: int = 64 * 1024 * 1024
+    file_ms: float = 15 * 60 * 1000.0
+    total_bytes: int = 1024 * 1024 * 1024  # of all files, the open one included
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """A file that is no longer written, the newest with the highest number."""
+
+    number: int
+    size: int
+
+
+def full(bounds: Bounds, size: int, opened_ms: float, now_ms: float, more: int) -> bool:
+    """Whether `more` bytes go to a new file. A file that holds nothing yet takes any record."""
+    if size <= 0:
+        return False
+    too_large = 0 < bounds.file_bytes < size + more
+    return too_large or 0 < bounds.file_ms <= now_ms - opened_ms
+
+
+def to_remove(bounds: Bounds, closed: Sequence[Closed], open_size: int) -> list[int]:
+    """Numbers of closed files that go, the oldest first; the open one never does."""
+    if bounds.total_bytes <= 0:
+        return []
+    total, gone = open_size + sum(file.size for file in closed), []
+    for file in sorted(closed, key=lambda one: one.number):
+        if total <= bounds.total_bytes:
+            break
+        total -= file.size
+        gone.append(file.number)
+    return gone
--- /dev/null
+++ b/landingdeal/commands/demo.py
@@ -0,0 +1,33 @@
+"""`landingdeal demo`."""
+
+from __future__ import annotations
+
+import json
+
+import click
+
+from landingdeal.commands.main import FOUND
+
+
+@click.command()
+@click.option("--calls", type=click.IntRange(1, 2000), default=40, show_default=True)
+@click.option("--per-s", type=click.FloatRange(0.1, 500), default=20.0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object, for machines.")
+@click.pass_context
+def demo(ctx: click.Context, calls: int, per_s: float, seed: int, as_json: bool) -> None:
+    """Start the SIP front and two stand-in hubs, offer a small capture. Code 0: each call got one answer."""
+    from landingdeal.lab.demo import demonstrate
+
+    shown = demonstrate(calls, per_s, seed)
+    left = shown.unanswered
+    if as_json:
+        click.echo(json.dumps({"planned": shown.planned, "unanswered": len(left), "calls": shown.table}))
+    else:
+        click.echo(f"{'call':>5} {'class':14} {'at ms':>8}  {'answer':12} {'ms':>8} {'late ms':>8}  ended by")
+        for row in shown.table:
+            answer = f"{row['replayed']} {row['replayed_status']}"
+            click.echo(f"{row['call']:>5} {row['class']:14} {row['at_ms']:8.0f}  {answer:12} "
+                       f"{row['replayed_ms']:8.1f} {row['late_ms']:8.2f}  {row['ended_by']}")  # fmt: skip
+        click.echo(f"{shown.planned} calls, {len(left)} without exactly one final answer")
+    ctx.exit(FOUND if left or len(shown.table) < shown.planned else 0)
--- a/landingdeal/commands/main.py
+++ b/landingdeal/commands/main.py
@@ -13,8 +13,9 @@
 FOUND, CAN_NOT = 1, 2
 LAZY = {
     "serve": ("landingdeal.commands.serve", "serve", "Start the program, as without a command."),
+    "demo": ("landingdeal.commands.demo", "demo", "Show the program at work, with stand-ins."),
     "config": ("landingdeal.commands.config", "config", "Check configuration files."),
-    "capture": ("landingdeal.commands.capture", "capture", "Read, check and look into captures."),
+    "capture": ("landingdeal.commands.capture_files", "capture", "Read, check and look into captures."),
 }
 
 
--- /dev/null
+++ b/landingdeal/lab/demo.py
@@ -0,0 +1,172 @@
+"""The demonstration: the SIP front, two stand-in lab hubs, and a capture made here offered as load."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from landingdeal.capture.calls import Calls
+from landingdeal.capture.encode import PcapngFile
+from landingdeal.capture.plan import Left, Shape, plan
+from landingdeal.capture.player import Result
+from landingdeal.capture.reader import Reading, read
+from landingdeal.capture.replay import Replay, Report
+from landingdeal.capture.results import last_tries, rows
+from landingdeal.capture.sample import Shape as Traffic
+from landingdeal.capture.sample import capture_file, packets, traffic
+from landingdeal.clock import now_ms, seconds_until
+from landingdeal.errors import ConfigError
+from landingdeal.lab.answerer import Answerer, Behaviour
+
+START_MS = 10_000.0
+OPERATOR = """
+[sip]
+enabled = true
+listen = "127.0.0.1:{port}"
+t1_ms = 500
+default_class = "device-status"
+[[sip.hub]]
+name = "addis-1"
+number = 1
+address = "127.0.0.1:{first}"
+transport = "udp"
+circuits = 120
+[[sip.hub]]
+name = "hawassa-1"
+number = 2
+address = "127.0.0.1:{second}"
+transport = "tcp"
+circuits = 120
+[[sip.route]]
+prefix = "1"
+hub = 1
+[[sip.route]]
+prefix = "2"
+hub = 2
+[settings]
+balancers = 1
+tick_ms = 5.0
+discovery = "pushed"
+[[settings.classes]]
+name = "device-status"
+slo_ms = 1500.0
+deadline_ms = 9000.0
+points = 1.0
+late_worth = 0.1
+effect = "free"
+[[settings.classes]]
+name = "test-report"
+slo_ms = 1500.0
+deadline_ms = 9000.0
+points = 2.0
+late_worth = 0.1
+effect = "free"
+[settings.caps]
+most_tries = 6
+may_probe = false
+retry_after = true
+max_retry_after_ms = 2000.0
+[settings.load_report]
+how = "piggyback"
+names = ["free", "size", "depth", "can_take"]
+[settings.rules]
+drain_grace_ms = 1000.0
+cold_from = 0.3
+cold_ms = 14000.0
+fall_multiple = 2.0
+fall_ms = 1000.0
+[settings.specifics]
+topology = "pools"
+release_ms = 300.0
+mean_hold_ms = [10500.0, 12600.0]
+widths = [1, 1]
+skilled_pools = [[1, 2], [1, 2]]
+"""
+
+
+def free_port() -> int:
+    """One that UDP and TCP can both have."""
+    while True:
+        with socket.create_server(("127.0.0.1", 0)) as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            port: int = tcp.getsockname()[1]
+            with contextlib.suppress(OSError):
+                udp.bind(("127.0.0.1", port))
+                return port
+
+
+@contextlib.contextmanager
+def front(folder: Path, hubs: tuple[int, int], extra: str = "") -> Iterator[int]:
+    """The program with the SIP front on a free port, started and ended; its log is in the folder."""
+    port = free_port()
+    path = folder / "operator.toml"
+    path.write_text(
+        OPERATOR.format(port=port, first=hubs[0], second=hubs[1]).replace(
+            "[[sip.hub]]", extra + "[[sip.hub]]", 1
+        )
+    )
+    env = {key: value for key, value in os.environ.items() if key != "ROUTER_CONFIG"}
+    with (folder / "log").open("wb") as log:
+        command = [sys.executable, "-m", "landingdeal", "--operator", str(path)]
+        program = subprocess.Popen(command, env=env, stderr=log)
+        try:
+            until = now_ms() + START_MS
+            while now_ms() < until and program.poll() is None:
+                with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port)):
+                    break
+                time.sleep(seconds_until(now_ms() + 20))
+            else:
+                raise ConfigError(f"the program does not start: {(folder / 'log').read_text().strip()}")
+            yield port
+        finally:
+            program.send_signal(signal.SIGTERM)
+            until = now_ms() + START_MS
+            while program.poll() is None and now_ms() < until:
+                time.sleep(seconds_until(now_ms() + 20))
+            program.kill()
+            program.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    report: Report
+    planned: int
+    table: list[dict[str, Any]]
+
+    @property
+    def unanswered(self) -> list[Result]:
+        return [result for result in last_tries(self.report) if result.finals != 1]
+
+
+def demonstrate(calls: int = 40, per_s: float = 20.0, seed: int = 1) -> Shown:
+    """Raises ConfigError where the program does not start."""
+    hubs = [Answerer(Behaviour(ring_ms=5.0, answer_ms=25.0, refuse=refuses)) for _ in range(2)]
+    try:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            capture = folder / "sample.pcapng"
+            made = traffic(Traffic(calls, per_s, hold_ms=(300.0, 1500.0)), seed)
+            capture.write_bytes(capture_file(packets(made), PcapngFile()))
+            table = Calls()
+            found = [call for seen in read([str(capture)], Reading()) for call in table.feed(seen)]
+            planned = plan([*found, *table.end()], Shape(linger_ms=0.0), Left({}))
+            with front(folder, (hubs[0].port, hubs[1].port)) as port:
+                report = Replay(planned, ("127.0.0.1", port), Shape()).run()
+    finally:
+        for hub in hubs:
+            hub.end()
+    return Shown(report, len(planned), list(rows(report)))
+
+
+def refuses(user: str) -> int:
+    """One number in ten is busy."""
+    return 486 if user.endswith("7") else 0
--- a/landingdeal/operator.py
+++ b/landingdeal/operator.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from badgerstile.interface import Settings
+    from landingdeal.capture.settings import CaptureSettings
     from landingdeal.sip.call import SipConfig
 
 
@@ -24,8 +25,7 @@
     contracts: tuple[Contract, ...] = ()
     sip: SipConfig | None = None
     settings: Settings | None = None
-    capture_in: str = ""
-    capture_out: str = ""
+    capture: CaptureSettings | None = None
 
 
 def read_operator(text: str, platform: bool = False) -> Operator:
@@ -57,6 +57,9 @@
         settings = read_settings(json.dumps(told).encode())
     except WireError as error:
         raise ConfigError(f"the operator's file: {error}") from None
-    capture = sip.get("capture", {})
-    made = read_sip(sip, settings)
-    return Operator(contracts, made, settings, str(capture.get("read", "")), str(capture.get("write", "")))
+    capture = None
+    if "capture" in sip:
+        from landingdeal.capture.settings import read_capture
+
+        capture = read_capture(sip["capture"])
+    return Operator(contracts, read_sip(sip, settings), settings, capture)
--- a/landingdeal/service/with_sip.py
+++ b/landingdeal/service/with_sip.py
@@ -6,6 +6,9 @@
 from pathlib import Path
 
 from badgerstile.interface import ExchangeList, Health, Listed, ListKind
+from landingdeal.capture.settings import CaptureSettings
+from landingdeal.capture.sink import Sink
+from landingdeal.clock import now_ms
 from landingdeal.core.broker import Broker, Inbox
 from landingdeal.core.contracts import Contracts
 from landingdeal.core.events import Budgets, News
@@ -13,10 +16,11 @@
 from landingdeal.errors import ConfigError
 from landingdeal.log import say
 from landingdeal.operator import Operator, read_operator
-from landingdeal.pcap import NotPcap
 from landingdeal.service.life import reloads, run
+from landingdeal.sip.capture import Capture
 from landingdeal.sip.front import SipFront
 
+SINK_MS = 2000.0  # for what waits to be written to a capture at the end
 RELEASES = Times(flush=2000.0)  # for the SIP front's last releases to be answered
 
 
@@ -29,22 +33,24 @@
     operator = read_operator_file(where)
     if operator.sip is None:
         raise ConfigError("neither ROUTER_CONFIG nor an operator's file with the SIP front enabled is named")
-    try:
-        _serve(operator, where)
-    except NotPcap as error:
-        raise ConfigError(str(error)) from None
+    _serve(operator, where)
 
 
 def _serve(operator: Operator, where: str) -> None:
     assert operator.sip is not None and operator.settings is not None
     inbox, life = Inbox(), Lifecycle(RELEASES)
     seed = int.from_bytes(os.urandom(8), "big")
-    front = SipFront(operator.sip, operator.settings, inbox, seed, life)
+    told, listen = operator.capture or CaptureSettings(), (operator.sip.host, operator.sip.port)
+    sink = Sink(told.write, told.bounds, told.compress) if told.write is not None else None
+    front = SipFront(operator.sip, operator.settings, inbox, seed, life, sink)
+    capture = Capture(told.read, sink, listen) if told.read else None
     contracts = Contracts(operator.contracts)
     broker = Broker(operator.settings, seed, inbox, front, lambda call, cause: None, contracts, life)
     listed = tuple(Listed(hub.name, hub.number, Health.READY, 0.0) for hub in operator.sip.hubs)
     inbox.tell(News(ExchangeList(ListKind.REMEMBERED, listed)))
     reloads(lambda: inbox.tell(Budgets(read_operator_file(where).contracts)))
-    front.start(operator.capture_in, operator.capture_out)
+    front.start(capture)
     say(f"SIP front on {operator.sip.host}:{operator.sip.port}, UDP and TCP")
     run(broker, front.flush)
+    if sink is not None:
+        sink.end(now_ms() + SINK_MS)
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -26,7 +26,7 @@
 from landingdeal.sip.loop import Loop, Work
 from landingdeal.sip.message import Malformed, Message, response
 from landingdeal.sip.transaction import ClientTransaction, Flow, ServerTransaction, Transaction
-from landingdeal.sip.transport import Received, TcpFlow, Transports
+from landingdeal.sip.transport import Received, Tap, TcpFlow, Transports
 
 TRANSACTIONS_MOST = 8192
 
@@ -57,12 +57,12 @@
 class Endpoint:
     """`new_request`, `new_ack`, `server_over` and `flow_lost` are the upper half's."""
 
-    def __init__(self, config: SipConfig, seed: int, life: Lifecycle) -> None:
+    def __init__(self, config: SipConfig, seed: int, life: Lifecycle, tap: Tap | None = None) -> None:
         self.config = config
         self.timing = config.timing
         self.random = random.Random(seed)
         self.loop = Loop()
-        self.transports = Transports(config.host, config.port, self.received, self.flow_ended, life)
+        self.transports = Transports(config.host, config.port, self.received, self.flow_ended, life, tap)
         self.servers: dict[str, ServerTransaction] = {}
         self.clients: dict[str, ClientTransaction] = {}
         self.strays = 0
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -27,7 +27,7 @@
 from landingdeal.log import say
 from landingdeal.sip.address import BadAddress, parse_name_addr, parse_uri
 from landingdeal.sip.call import Call, HubPlace, Leg, Side, SipCaller, SipConfig
-from landingdeal.sip.capture import Capture, CaptureFlow, CaptureWriter
+from landingdeal.sip.capture import Capture, CaptureFlow
 from landingdeal.sip.dialog import Dialog
 from landingdeal.sip.endpoint import Endpoint, ReplyFlow
 from landingdeal.sip.headers import ALLOW, cause_of, figures_of, reason_header, reason_of
@@ -38,6 +38,7 @@
     State,
     within,
 )
+from landingdeal.sip.transport import Tap
 from landingdeal.threads import start_thread
 
 CALLS_MOST = 4000
@@ -56,9 +57,15 @@
 
 class SipFront(Endpoint):
     def __init__(
-        self, config: SipConfig, settings: Settings, inbox: Inbox, seed: int, life: Lifecycle | None = None
+        self,
+        config: SipConfig,
+        settings: Settings,
+        inbox: Inbox,
+        seed: int,
+        life: Lifecycle | None = None,
+        tap: Tap | None = None,
     ) -> None:
-        super().__init__(config, seed, life or Lifecycle())
+        super().__init__(config, seed, life or Lifecycle(), tap)
         self.released = self.releasing = False
         self.set, self.inbox = settings, inbox
         self.hubs = {hub.name: hub for hub in config.hubs}
@@ -68,11 +75,8 @@
         self.early: dict[str, Call] = {}  # by the branch key of the INVITE
         self.dialogs: dict[tuple[str, str, str], Side] = {}
 
-    def start(self, capture_in: str = "", capture_out: str = "") -> None:
-        """With a capture, callers' messages also come from there, and the answers to those go to another."""
-        listen = (self.config.host, self.config.port)
-        sink = CaptureWriter(capture_out)
-        capture = Capture(capture_in, sink, listen) if capture_in else None
+    def start(self, capture: Capture | None = None) -> None:
+        """With a capture, callers' messages also come from there."""
         self.loop.start()
         self.transports.start()
         if capture is not None:
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from landingdeal.clock import now_ms
 from landingdeal.core.lifecycle import Lifecycle
@@ -30,17 +31,29 @@
     flow: Flow
 
 
+class Tap(Protocol):
+    """Is told of each message that passes, and of each connection's end. Neither may block."""
+
+    def passed(
+        self, transport: str, source: tuple[str, int], target: tuple[str, int], message: Message
+    ) -> None: ...
+
+    def closed(self, source: tuple[str, int], target: tuple[str, int], reset: bool) -> None: ...
+
+
 class UdpFlow:
     kind = "UDP"
     reliable = False
     alive = True
     was_up = True
 
-    def __init__(self, sock: socket.socket, host: str, port: int) -> None:
-        self.sock, self.host, self.port = sock, host, port
+    def __init__(self, sock: socket.socket, host: str, port: int, tap: Tap | None = None) -> None:
+        self.sock, self.host, self.port, self.tap = sock, host, port, tap
         self.name = f"UDP {host}:{port}"
 
     def send(self, message: Message) -> None:
+        if self.tap is not None:  # before it goes: an answer must not be told first
+            self.tap.passed("UDP", self.sock.getsockname()[:2], (self.host, self.port), message)
         try:
             self.sock.sendto(encode(message), socket.MSG_DONTWAIT, (self.host, self.port))
         except OSError as error:  # a datagram may get lost; the transaction sends it again
@@ -53,8 +66,9 @@
     kind = "TCP"
     reliable = True
 
-    def __init__(self, host: str, port: int) -> None:
-        self.host, self.port = host, port
+    def __init__(self, host: str, port: int, tap: Tap | None = None) -> None:
+        self.host, self.port, self.tap = host, port, tap
+        self.local: tuple[str, int] = ("", 0)
         self.lock = threading.Lock()
         self.link: Link | None = None
         self.held: list[Message] = []
@@ -68,14 +82,20 @@
                     self.held.append(message)
                 return
             link = self.link
+        self._send(link, message)
+
+    def _send(self, link: Link, message: Message) -> None:
+        if self.tap is not None and link.alive:  # before it goes: an answer must not be told first
+            self.tap.passed("TCP", self.local, (self.host, self.port), message)
         link.send(message)
 
     def up(self, link: Link) -> None:
         with self.lock:
             self.link, self.was_up = link, True
+            self.local = link.sock.getsockname()[:2]
             held, self.held = self.held, []
             for message in held:
-                link.send(message)
+                self._send(link, message)
 
 
 class Transports:
@@ -88,9 +108,10 @@
         on_received: Callable[[Received], None],
         on_end: Callable[[TcpFlow], None],
         life: Lifecycle,
+        tap: Tap | None = None,
     ) -> None:
         self.host, self.port, self.life = host, port, life
-        self.on_received, self.on_end = on_received, on_end
+        self.on_received, self.on_end, self.tap = on_received, on_end, tap
         self.lock = threading.Lock()
         self.flows: dict[Link, TcpFlow] = {}
         self.out: dict[tuple[str, int], TcpFlow] = {}
@@ -115,12 +136,12 @@
     def to(self, transport: str, host: str, port: int, deadline_ms: float | None = None) -> Flow:
         """A flow towards an address; a TCP connection there is used again, or dialled off this thread."""
         if transport != "TCP":
-            return UdpFlow(self.udp, host, port)
+            return UdpFlow(self.udp, host, port, self.tap)
         with self.lock:
             flow = self.out.get((host, port))
             if flow is not None and flow.alive:
                 return flow
-            flow = self.out[host, port] = TcpFlow(host, port)
+            flow = self.out[host, port] = TcpFlow(host, port, self.tap)
         until = deadline_ms if deadline_ms is not None else now_ms() + DIAL_MS
         start_thread("dial", lambda: self._dial(flow, min(until, now_ms() + DIAL_MS)))
         return flow
@@ -143,20 +164,24 @@
         if len(self.flows) >= LINKS_MOST:  # guards the descriptors
             sock.close()
             return
-        self._run(TcpFlow(host, port), sock)
+        self._run(TcpFlow(host, port, self.tap), sock)
 
     def _run(self, flow: TcpFlow, sock: socket.socket) -> None:
-        link = Link(sock, lambda _, m: self._received(flow, m), lambda on, _: self._ended(flow, on))
+        link = Link(sock, lambda _, m: self._received(flow, m), lambda on, r: self._ended(flow, on, r))
         with self.lock:
             self.flows[link] = flow
         flow.up(link)
         link.start()
 
     def _received(self, flow: TcpFlow, message: Message | Malformed) -> None:
+        if self.tap is not None and isinstance(message, Message):
+            self.tap.passed("TCP", (flow.host, flow.port), flow.local, message)
         self.on_received(Received(message, flow.host, flow.port, flow))
 
-    def _ended(self, flow: TcpFlow, link: Link) -> None:
+    def _ended(self, flow: TcpFlow, link: Link, reset: bool) -> None:
         flow.alive = False
+        if self.tap is not None:
+            self.tap.closed((flow.host, flow.port), flow.local, reset)
         with self.lock:
             self.flows.pop(link, None)
             if self.out.get((flow.host, flow.port)) is flow:
@@ -175,4 +200,7 @@
                 self.oversize += 1
                 say(f"UDP {host}:{port}: {len(data)} bytes are over 16 KiB ({self.oversize} so far)")
             elif data.strip(b"\r\n\0"):  # keep-alives are empty
-                self.on_received(Received(decode_datagram(data), host, port, UdpFlow(self.udp, host, port)))
+                message = decode_datagram(data)
+                if self.tap is not None and isinstance(message, Message):
+                    self.tap.passed("UDP", (host, port), (self.host, self.port), message)
+                self.on_received(Received(message, host, port, UdpFlow(self.udp, host, port, self.tap)))
