Say once how the core refuses by itself, and name a player's transactions

Cause: the core's own refusal (refuse, then drop) stood three times in the broker, once with the same check made twice; a replay's player found its CANCEL and BYE by hasattr and getattr.

Change: Broker._refuse_now serves the end of life, unreadable connections and the last moment; Player has cancelling and ending from its start. Behaviour is as before.

--- a/landingdeal/capture/player.py
+++ b/landingdeal/capture/player.py
@@ -66,7 +66,9 @@
         self.call_id, self.tag = identity(offered, tries, seed)
         self.over, self.answered = over, answered
         self.result = Result(offered, tries, 0.0)
-        self.transaction: ClientTransaction | None = None
+        self.transaction: ClientTransaction | None = None  # of the INVITE
+        self.cancelling: ClientTransaction | None = None
+        self.ending: ClientTransaction | None = None
         self.dialog: Dialog | None = None
         self.provisional = self.cancelled = self.ended = False
         self.requests: dict[tuple[int, str], ServerTransaction] = {}
@@ -130,7 +132,7 @@
 
     def _send_cancel(self) -> None:
         assert self.transaction is not None
-        self._cancelling = self._client(within(self.transaction.request, "CANCEL"), lambda message: None)
+        self.cancelling = self._client(within(self.transaction.request, "CANCEL"), lambda message: None)
 
     def bye(self) -> None:
         if self.dialog is None or self.dialog.over or self.ended:
@@ -138,7 +140,7 @@
         self.dialog.over = True
         self.result.ended_by = "us"
         made = self.dialog.make("BYE", self._via(), ("reason", "Q.850;cause=16"))
-        self._ending = self._client(made, self._on_bye)
+        self.ending = self._client(made, self._on_bye)
 
     def _on_bye(self, message: Message) -> None:
         if message.status >= 200:
@@ -150,7 +152,7 @@
         status = message.status
         if status < 200:
             self.provisional = True
-            if self.cancelled and not hasattr(self, "_cancelling"):
+            if self.cancelled and self.cancelling is None:
                 self._send_cancel()
             return
         again = self.dialog is not None and 200 <= status < 300
@@ -203,8 +205,7 @@
         """Any response of this call: found by branch and method (17.1.3)."""
         branch = message.get("via").partition("branch=")[2].partition(";")[0]
         key = f"{branch}|{message.cseq[1]}"
-        for name in ("transaction", "_cancelling", "_ending"):
-            transaction: ClientTransaction | None = getattr(self, name, None)
+        for transaction in (self.transaction, self.cancelling, self.ending):
             if transaction is not None and transaction.key == key:
                 transaction.received(message)
 
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -167,8 +167,7 @@
             # guards against what the kill would find unanswered
             if self.life.core_looks(len(self.open), self.inbox.size(), self.now):
                 for exchange in list(self.open.values()):
-                    if exchange.refuse(self._come_back(), exchange.why):
-                        self._drop(exchange)
+                    self._refuse_now(exchange)
             self.inbox.closed = not self.life.takes
 
     def _safely(self, event: Arrival | Timer) -> None:
@@ -193,9 +192,8 @@
                 self._withdrawn(event)
             case Unreadable(call, caller):
                 exchange = self.open.get(call)
-                ours = exchange is not None and exchange.offer.caller.origin is caller.origin
-                if ours and exchange is not None and exchange.refuse(self._come_back(), exchange.why):
-                    self._drop(exchange)
+                if exchange is not None and exchange.offer.caller.origin is caller.origin:
+                    self._refuse_now(exchange)
             case Stood():
                 self._stood(event)
             case Ended():
@@ -292,6 +290,10 @@
         exchange = self.open.get(call)
         if exchange is None or self.now < exchange.deadline_ms - LAST_MOMENT_MS:
             return
+        self._refuse_now(exchange)
+
+    def _refuse_now(self, exchange: Exchange) -> None:
+        """The core's own refusal, without asking the module; nothing where the answer has been given."""
         if exchange.refuse(self._come_back(), exchange.why):
             self._drop(exchange)
 
