--- a/review/common.py
+++ b/review/common.py
@@ -68,6 +68,16 @@
 _given: set[int] = set()
 
 
+def temporary_folder() -> Path:
+    """A folder that goes with the end of the case."""
+    folder = Path(tempfile.mkdtemp(prefix="review-"))
+    _folders.append(folder)
+    return folder
+
+
+_folders: list[Path] = []
+
+
 class Program:
     """The program, started with `run` of the deploy file (or its command line), in a session of its own."""
 
@@ -76,7 +86,7 @@
     ) -> None:
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         self.record, self.name = record, name
-        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
+        self.folder = temporary_folder()
         self.log_path = self.folder / "log"
         clean = {k: v for k, v in os.environ.items() if not k.startswith(("ROUTER_", "LANDINGDEAL_"))}
         with self.log_path.open("wb") as log:
@@ -108,7 +118,6 @@
         self.process.wait()
         for line in self.log().splitlines():
             self.record.add(f"{self.name} log: {line}")
-        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 _programs: list[Program] = []
@@ -125,9 +134,14 @@
         except Exception as error:
             record.add(f"cannot run: {type(error).__name__} {error}")
 
-    def stop(*_: object) -> None:
+    def end_all() -> None:
         for program in list(_programs):
             program.end()
+        for temporary in _folders:
+            shutil.rmtree(temporary, ignore_errors=True)
+
+    def stop(*_: object) -> None:
+        end_all()
         os._exit(EXIT_BASE + CANNOT_RUN)
 
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
@@ -137,8 +151,7 @@
     thread.join(limit_s)
     if thread.is_alive():
         record.add("cannot run: out of time")
-    for program in list(_programs):
-        program.end()
+    end_all()
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken", CANNOT_RUN: "the case could not run"}
     record.add(f"exit {code[0]}: {verdict[code[0]]}")
     print(verdict[code[0]], flush=True)
@@ -323,10 +336,8 @@
 ) -> tuple[Program, int]:
     """Starts the SIP front; returns it and its port."""
     port = free_port()
-    folder = Path(tempfile.mkdtemp(prefix="review-operator-"))
-    path = folder / "operator.toml"
+    path = temporary_folder() / "operator.toml"
     path.write_text(sip_operator_file(port, hubs, capture))
     program = Program(record, {"LANDINGDEAL_OPERATOR": str(path)})
     program.wait_for_log("SIP front on")
-    shutil.rmtree(folder, ignore_errors=True)
     return program, port
