SIP: a response over TCP goes to the port of sent-by when its connection has ended

Cause: ResponseFlow took the source port of the request for any Via with rport. That is the rule for datagrams (RFC 3581, section 4). On TCP the source port ends with the connection; a new one goes to the port of sent-by (RFC 3261, 18.2.2). Evidence: a trace of one call shows the answer on its way: the core established the call, the 2xx was given to the response flow, the flow dialled the source port of the closed connection, which refused (errno 111), and flow_lost ended the call. Change: response_address, a function without I/O, says where a response goes; ResponseFlow keeps the flow that carried the last one. All TCP scenarios run with rport too; three new ones send a refusal and both answers of a re-INVITE.

--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -26,6 +26,7 @@
 from landingdeal.sip.dialog import Dialog
 from landingdeal.sip.loop import EventLoop, Work
 from landingdeal.sip.message import MalformedMessage, Message, response
+from landingdeal.sip.response_flow import ResponseFlow
 from landingdeal.sip.transaction import ClientTransaction, Flow, ServerTransaction, Transaction
 from landingdeal.sip.transport import ReceivedMessage, Tap, TcpFlow, TransportLayer
 
@@ -34,27 +35,6 @@
 ResponseHandler = Callable[[Message], None]
 
 
-class ResponseFlow:
-    """Sends responses on the connection of the request, else on a new one to the address in Via (18.2.2)."""
-
-    def __init__(self, transaction_layer: TransactionLayer, received: ReceivedMessage, via: Via) -> None:
-        self.transaction_layer, self.request_flow = transaction_layer, received.flow
-        self.host = received.host
-        self.port = received.port if "rport" in via.params else via.port
-        self.transport, self.reliable = received.flow.transport, received.flow.reliable
-        self.alive = self.was_connected = True
-        self.fallback_flow: Flow | None = None
-
-    def send(self, message: Message) -> None:
-        if not self.reliable:
-            self.transaction_layer.transport_layer.flow_to("UDP", self.host, self.port).send(message)
-        elif self.request_flow.alive:
-            self.request_flow.send(message)
-        else:
-            self.fallback_flow = self.transaction_layer.transport_layer.flow_to("TCP", self.host, self.port)
-            self.fallback_flow.send(message)
-
-
 class TransactionLayer:
     """Base of a user agent; the transaction user implements the methods that raise NotImplementedError."""
 
@@ -200,7 +180,7 @@
         headers = (*message.headers[:index], ("via", via_value), *message.headers[index + 1 :])
         message = replace(message, headers=headers)
         key = self._branch_key(message, via, sender.tag)
-        flow = ResponseFlow(self, received, via)
+        flow = ResponseFlow(self.transport_layer.flow_to, received.flow, received.host, received.port, via)
         if message.method == "ACK":
             self.new_ack(message, key, received.flow)
             return
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -30,9 +30,10 @@
 from landingdeal.sip.call import DialogSide, HubConfig, HubLeg, SipCall, SipCaller, SipConfig
 from landingdeal.sip.capture import CapturePlayback, PlaybackFlow
 from landingdeal.sip.dialog import Dialog
-from landingdeal.sip.endpoint import ResponseFlow, TransactionLayer
+from landingdeal.sip.endpoint import TransactionLayer
 from landingdeal.sip.headers import ALLOW_HEADER, load_values, reason_header, rejection_reason, release_cause
 from landingdeal.sip.message import Message, request, response
+from landingdeal.sip.response_flow import ResponseFlow
 from landingdeal.sip.transaction import (
     Flow,
     ServerTransaction,
@@ -770,7 +771,9 @@
             ):
                 # the response may have been written to a connection that was closing: send it again
                 server_transaction.request_retransmitted()
-            if server_transaction.flow.fallback_flow is flow:  # the final response is not deliverable
+            response_flow = server_transaction.flow
+            if response_flow.current_flow is flow is not response_flow.request_flow:
+                # the final response is not deliverable
                 call = self.early_calls.get(server_transaction.key)
                 if call is not None and call.caller_side is not None:
                     self._end_call(call, CAUSE_CALL_CUT, call.caller_side)
--- /dev/null
+++ b/landingdeal/sip/response_flow.py
@@ -0,0 +1,42 @@
+"""Where a response goes: on the connection of its request, else to the address that Via gives."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from landingdeal.sip.address import Via
+from landingdeal.sip.message import Message
+from landingdeal.sip.transaction import Flow
+
+FlowTo = Callable[[str, str, int], Flow]  # transport, host, port
+
+
+def response_address(via: Via, source_host: str, source_port: int, reliable: bool) -> tuple[str, int]:
+    """Returns the address for a response that can't go back on the connection of its request.
+
+    `rport` asks for the source port of a datagram (RFC 3581, section 4). The source port of a connection is
+    gone with it: there the port of sent-by is the one that the client listens on (RFC 3261, 18.2.2).
+    """
+    if "rport" in via.params and not reliable:
+        return source_host, source_port
+    return source_host, via.port
+
+
+class ResponseFlow:
+    """Sends the responses to one request.
+
+    `current_flow` is the one that carried the last response. Over TCP that is the connection of the request
+    while it is alive, then a new connection to the address in Via.
+    """
+
+    alive = was_connected = True
+
+    def __init__(self, flow_to: FlowTo, request_flow: Flow, host: str, port: int, via: Via) -> None:
+        self.flow_to, self.request_flow, self.current_flow = flow_to, request_flow, request_flow
+        self.transport, self.reliable = request_flow.transport, request_flow.reliable
+        self.host, self.port = response_address(via, host, port, self.reliable)
+
+    def send(self, message: Message) -> None:
+        if not self.reliable or not self.current_flow.alive:
+            self.current_flow = self.flow_to(self.transport, self.host, self.port)
+        self.current_flow.send(message)
--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -121,6 +121,8 @@
 class SipHarness:
     """The program with its SIP front, and the parties of a scenario."""
 
+    with_rport = False  # whether the parties put `rport` into their Via
+
     def __init__(
         self,
         folder: Path,
@@ -229,7 +231,8 @@
         branch = fields.get("branch", f"z9hG4bK{party.name}{call_id}{method}{number}")
         if last_request is not None and (method == "CANCEL" or method == "ACK" and refused):
             branch = last_request.get("via").rpartition("branch=")[2]
-        via = f"SIP/2.0/{self.transport.upper()} 127.0.0.1:{party.port};branch={branch}"
+        rport = ";rport" if self.with_rport else ""
+        via = f"SIP/2.0/{self.transport.upper()} 127.0.0.1:{party.port}{rport};branch={branch}"
         body = BODY if method == "INVITE" else b""
         message = request(method, uri, ("via", via), ("max-forwards", "70"), ("from", local), ("to", remote),
                           ("call-id", call_id), ("cseq", f"{number} {method}"), party.contact(), *headers,
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -259,6 +259,44 @@
         caller send ACK a
         hub1 wait 100
     """,
+    "the caller's connection closes during the set-up: a refusal is sent on a new one": """
+        caller send INVITE a
+        hub1 expect INVITE a
+        caller close
+        hub1 send 486 a
+        hub1 expect ACK a
+        caller expect 486 a
+        caller send ACK a
+        hub1 wait 100
+    """,
+    "the caller's connection is reset during its re-INVITE: the answer is sent on a new one": ESTABLISHED_CALL
+    + """
+        caller send INVITE a
+        hub1 expect INVITE a
+        caller reset
+        caller expect OPTIONS a
+        caller send 200 a of=OPTIONS
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a CSeq:2
+        caller send ACK a
+        hub1 wait 100
+    """,
+    "the hub's connection is reset during its re-INVITE: the answer is sent on a new one": ESTABLISHED_CALL
+    + """
+        caller send OPTIONS b
+        caller expect 200 b
+        hub1 send INVITE a
+        caller expect INVITE a
+        hub1 reset
+        hub1 expect OPTIONS a
+        hub1 send 200 a of=OPTIONS
+        caller send 200 a
+        caller expect ACK a
+        hub1 expect 200 a
+        hub1 send ACK a
+        caller wait 100
+    """,
     "a caller that is unreachable after the answer: the call is released": ESTABLISHED_CALL + """
         caller gone
         hub1 expect BYE a Reason:Q.850;cause=41
@@ -308,6 +346,21 @@
 )
 def test_sip_scenario(transport: str, scenario: str, tmp_path: Path) -> None:
     environment = SipHarness(tmp_path, transport)
+    play_on_program(environment, scenario)
+
+
+@pytest.mark.parametrize("scenario", TCP_ONLY.values(), ids=TCP_ONLY)
+def test_tcp_callers_with_rport_get_their_answers_after_their_connection_ended(
+    scenario: str, tmp_path: Path
+) -> None:
+    """Over TCP a new connection goes to the port of sent-by, whether or not Via has rport."""
+    environment = SipHarness(tmp_path, "tcp")
+    environment.with_rport = True
+    play_on_program(environment, scenario)
+
+
+def play_on_program(environment: SipHarness, scenario: str) -> None:
+    """Plays a scenario, ends the program and checks that no exception is in its log."""
     try:
         play(environment, scenario)
     finally:
