SIP: a dialog follows the connection on which its caller's ACK came

A caller on TCP whose connection ended sent the ACK of its 2xx on a new one and then vanished: its call stood for ever, and its hub was never released. Cause: only requests within a dialog moved the dialog to their connection; the ACK did not. flow_lost asks the peers of the dialogs that are on the lost connection (OPTIONS), and this one was still on the connection that had ended before. Change: new_ack moves the dialog like any other request within it.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -33,7 +33,7 @@
 from landingdeal.sip.endpoint import TransactionLayer
 from landingdeal.sip.headers import ALLOW_HEADER, load_values, reason_header, rejection_reason, release_cause
 from landingdeal.sip.message import Message, request, response
-from landingdeal.sip.response_flow import ResponseFlow
+from landingdeal.sip.response_flow import ResponseFlow, carrying_flow
 from landingdeal.sip.transaction import (
     Flow,
     ServerTransaction,
@@ -256,6 +256,8 @@
         if side is None or side.unacknowledged != message.cseq[0]:
             return  # an ACK that matches nothing gets no response
         side.unacknowledged = -1
+        if flow.reliable:
+            side.dialog.flow = flow
         peer_side = side.peer_side
         # the session offer was in the 2xx of the hub, the answer is in this ACK
         if peer_side is not None and peer_side.last_ack is None:
@@ -277,11 +279,9 @@
             *[("record-route", value) for value in invite.get_all("record-route")],
             local_tag=call.local_tag, body=description,
         )  # fmt: skip
-        request_flow = flow.request_flow if isinstance(flow, ResponseFlow) else flow
-        side = call.caller_side = DialogSide(
-            call, Dialog(invite, final_response, request_flow, is_uac=False), is_caller=True
-        )
-        self.dialog_sides[side.dialog.key] = side
+        dialog = Dialog(invite, final_response, carrying_flow(flow), is_uac=False)
+        side = call.caller_side = DialogSide(call, dialog, is_caller=True)
+        self.dialog_sides[dialog.key] = side
         self._send_2xx(side, call.invite_transaction, final_response)
         if hub_side is None or hub_side.dialog.terminated:  # the hub has already released the call
             self._send_bye(side, CAUSE_CALL_CUT)
--- a/landingdeal/sip/response_flow.py
+++ b/landingdeal/sip/response_flow.py
@@ -40,3 +40,8 @@
         if not self.reliable or not self.current_flow.alive:
             self.current_flow = self.flow_to(self.transport, self.host, self.port)
         self.current_flow.send(message)
+
+
+def carrying_flow(flow: Flow) -> Flow:
+    """Returns the connection or address behind a flow for responses; any other flow is returned as it is."""
+    return flow.current_flow if isinstance(flow, ResponseFlow) else flow
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -297,6 +297,19 @@
         hub1 send ACK a
         caller wait 100
     """,
+    "a caller that sent its ACK on a new connection is unreachable: the call is released": """
+        caller send INVITE a
+        hub1 expect INVITE a
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a
+        caller close
+        caller send ACK a
+        caller send OPTIONS b
+        caller expect 200 b
+        caller gone
+        hub1 expect BYE a Reason:Q.850;cause=41
+    """,
     "a caller that is unreachable after the answer: the call is released": ESTABLISHED_CALL + """
         caller gone
         hub1 expect BYE a Reason:Q.850;cause=41
