SIP: the end of a connection concerns the response that it carried

Cause: flow_lost asked whether the lost connection was the first or the second of a transaction, not whether the final response had gone out on it, nor whether it had been acknowledged. Change: only the flow that carried the last response counts. A final response other than a 2xx is sent again when its connection ends before the ACK, after a pause if that was not the first; the call is ended only if its 2xx is not acknowledged and the new connection could not be made.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -763,25 +763,32 @@
             if transaction.flow is flow:
                 transaction.transport_failed()
         for server_transaction in list(self.server_transactions.values()):
-            if not isinstance(server_transaction.flow, ResponseFlow):
-                continue
-            if (
-                server_transaction.flow.request_flow is flow
-                and server_transaction.state is SipTransactionState.COMPLETED
-            ):
-                # the response may have been written to a connection that was closing: send it again
-                server_transaction.request_retransmitted()
             response_flow = server_transaction.flow
-            if response_flow.current_flow is flow is not response_flow.request_flow:
-                # the final response is not deliverable
-                call = self.early_calls.get(server_transaction.key)
-                if call is not None and call.caller_side is not None:
-                    self._end_call(call, CAUSE_CALL_CUT, call.caller_side)
+            if isinstance(response_flow, ResponseFlow) and response_flow.current_flow is flow:
+                self._response_flow_lost(server_transaction, response_flow)
         for side in list(self.dialog_sides.values()):
             awaiting_ack = side.unacknowledged >= 0  # its 2xx is retransmitted on a new connection anyway
             if side.dialog.flow is flow and not side.dialog.terminated and not awaiting_ack:
                 self._check_peer(side)
 
+    def _response_flow_lost(self, transaction: ServerTransaction, response_flow: ResponseFlow) -> None:
+        """Handles the end of the connection that carried the last response of a transaction.
+
+        The response may have been written to a connection that was closing. A 2xx is retransmitted by its
+        timer; another final response is sent again here, until its ACK arrives.
+        """
+        flow = response_flow.current_flow
+        if flow.was_connected:
+            if transaction.state is SipTransactionState.COMPLETED:
+                # a peer that keeps closing new connections is not dialled without a pause
+                delay_ms = 0.0 if flow is response_flow.request_flow else self.timing.t1
+                self.schedule_at(self.now() + delay_ms, transaction.request_retransmitted)
+            return
+        call = self.early_calls.get(transaction.key)
+        side = call.caller_side if call is not None else None
+        if side is not None and side.unacknowledged >= 0:  # the 2xx is not deliverable
+            self._end_call(side.call, CAUSE_CALL_CUT, side)
+
     def _check_peer(self, side: DialogSide) -> None:
         """Sends OPTIONS within the dialog and ends the call if the peer is not reachable."""
         if side.checking_peer:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from pathlib import Path
 from typing import TypeVar
 
@@ -9,7 +11,7 @@
 
 from landingdeal.clock import now_ms
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import Attempt, Offer, SetUpCancelled
+from landingdeal.core.events import Attempt, Offer, RefusalReason, SetUpCancelled
 from landingdeal.lab.ports import free_port
 from landingdeal.operator_config import parse_operator_config
 from landingdeal.sip.front import SipFront
@@ -297,6 +299,35 @@
         hub1 send ACK a
         caller wait 100
     """,
+    "a second connection of the caller that closes does not end an established call": """
+        caller send INVITE a
+        hub1 expect INVITE a
+        caller close
+        hub1 send 200 a
+        hub1 expect ACK a
+        caller expect 200 a
+        caller send ACK a
+        caller send OPTIONS b
+        caller expect 200 b
+        caller close
+        caller expect OPTIONS a
+        caller send 200 a of=OPTIONS
+        hub1 wait 150
+        hub1 send BYE a
+        hub1 expect 200 a
+        caller expect BYE a
+    """,
+    "a second connection of the caller that closes before its ACK: the refusal is sent on a third": """
+        caller send INVITE a
+        hub1 expect INVITE a
+        caller close
+        hub1 send 486 a
+        hub1 expect ACK a
+        caller expect 486 a
+        caller close
+        caller repeats 1
+        caller send ACK a
+    """,
     "a caller that sent its ACK on a new connection is unreachable: the call is released": """
         caller send INVITE a
         hub1 expect INVITE a
@@ -407,6 +438,42 @@
         raise AssertionError(f"no {event_type.__name__} event was reported")
 
 
+def wait_for(event: threading.Event) -> None:
+    """Holds the calling thread until the test goes on."""
+    assert event.wait(TIMEOUT_S)
+
+
+def close_parties(environment: InProcessFront) -> None:
+    for party in environment.parties.values():
+        party.sock.close()
+
+
+def test_a_final_response_goes_out_once_when_it_overtakes_the_end_of_the_connection() -> None:
+    """The response goes to a new connection before the front has handled the end of the first one."""
+    environment = InProcessFront("tcp")
+    play(environment, "caller send INVITE a")
+    offer = environment.next_event(Offer)
+    caller = environment.parties["caller"]
+    request_flow = next(iter(environment.front.transport_layer.flows.values()))
+    proceed = threading.Event()
+    environment.front.event_loop.post(lambda: wait_for(proceed))
+    offer.caller.refuse(0.0, RefusalReason.BUSY)
+    play(environment, "caller close")
+    while request_flow.alive:
+        time.sleep(0.005)
+    proceed.set()
+    play(
+        environment,
+        """
+        caller expect 486 a
+        caller send OPTIONS b
+        caller expect 200 b
+    """,
+    )  # the response to OPTIONS shows that the front has handled the end of the connection
+    assert caller.repeat_count() == 0
+    close_parties(environment)
+
+
 @pytest.mark.parametrize("transport", ["udp", "tcp"])
 def test_a_slow_core_leaves_no_hub_ringing_for_a_cancelled_call(transport: str) -> None:
     """The ACK of the 487 ends the transaction of the caller before the core has handled the CANCEL."""
@@ -439,5 +506,4 @@
         hub1 expect ACK a
     """,
     )
-    for party in environment.parties.values():
-        party.sock.close()
+    close_parties(environment)
