SIP: a malformed request is refused where its Via asks for it

A caller on UDP that sends from another port than it listens on (no rport) got no 400 or 505 for a malformed request; over TCP the refusal was lost with the connection of the request. Cause: _reject_malformed answered on the flow of the message instead of at the address that the response rules give. Change: with_source_address and response_address decide for every response to a request whose Via can be read; only the others go back on the flow of the message. The request's Via is marked in one place, for both.

--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import ipaddress
 import random
 from collections.abc import Callable
@@ -19,14 +20,13 @@
     parse_name_addr,
     parse_uri,
     parse_via,
-    split_unquoted,
     top_via,
 )
 from landingdeal.sip.call import SipConfig
 from landingdeal.sip.dialog import Dialog
 from landingdeal.sip.loop import EventLoop, Work
 from landingdeal.sip.message import MalformedMessage, Message, response
-from landingdeal.sip.response_flow import ResponseFlow
+from landingdeal.sip.response_flow import ResponseFlow, with_source_address
 from landingdeal.sip.transaction import ClientTransaction, Flow, ServerTransaction, Transaction
 from landingdeal.sip.transport import ReceivedMessage, Tap, TcpFlow, TransportLayer
 
@@ -142,9 +142,16 @@
     def _reject_malformed(self, received: ReceivedMessage, malformed: MalformedMessage) -> None:
         message = malformed.message
         if not message.status and message.method not in ("", "ACK"):
+            flow = received.flow
+            with contextlib.suppress(AddressError):
+                message, via = with_source_address(message, received.host, received.port)
+                flow = self._response_flow(received, via)
             status = 505 if malformed.problem == "version" else 400
             reply = self._make_response(message, status)
-            received.flow.send(replace(reply, reason_phrase=f"{reply.reason_phrase} ({malformed.problem})"))
+            flow.send(replace(reply, reason_phrase=f"{reply.reason_phrase} ({malformed.problem})"))
+
+    def _response_flow(self, received: ReceivedMessage, via: Via) -> ResponseFlow:
+        return ResponseFlow(self.transport_layer.flow_to, received.flow, received.host, received.port, via)
 
     def _handle_response(self, message: Message) -> None:
         try:
@@ -157,10 +164,9 @@
         else:
             transaction.response_received(message)
 
-    def _handle_request(self, received: ReceivedMessage, message: Message) -> None:
+    def _handle_request(self, received: ReceivedMessage, received_message: Message) -> None:
         try:
-            first_via, *other_vias = split_unquoted(message.get("via"), ",")
-            via = parse_via(first_via)
+            message, via = with_source_address(received_message, received.host, received.port)
             sender, recipient = parse_name_addr(message.get("from")), parse_name_addr(message.get("to"))
             if not sender.uri or not recipient.uri or not sender.tag and via.branch.startswith(MAGIC_COOKIE):
                 raise AddressError("From or To")
@@ -168,19 +174,10 @@
             if not (max_forwards.isascii() and max_forwards.isdecimal() and int(max_forwards) <= 255):
                 raise AddressError("Max-Forwards")
         except AddressError as error:
-            self._reject_malformed(received, MalformedMessage(str(error), message))
+            self._reject_malformed(received, MalformedMessage(str(error), received_message))
             return
-        marked_via = first_via.strip()
-        if via.host != received.host:
-            marked_via += f";received={received.host}"
-        if "rport" in via.params and not via.params["rport"]:
-            marked_via = marked_via.replace(";rport", f";rport={received.port}", 1)
-        via_value = ", ".join([marked_via, *(other_via.strip() for other_via in other_vias)])
-        index = next(position for position, (name, _) in enumerate(message.headers) if name == "via")
-        headers = (*message.headers[:index], ("via", via_value), *message.headers[index + 1 :])
-        message = replace(message, headers=headers)
         key = self._branch_key(message, via, sender.tag)
-        flow = ResponseFlow(self.transport_layer.flow_to, received.flow, received.host, received.port, via)
+        flow = self._response_flow(received, via)
         if message.method == "ACK":
             self.new_ack(message, key, received.flow)
             return
--- a/landingdeal/sip/response_flow.py
+++ b/landingdeal/sip/response_flow.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
-from landingdeal.sip.address import Via
+from landingdeal.sip.address import Via, parse_via, split_unquoted
 from landingdeal.sip.message import Message
 from landingdeal.sip.transaction import Flow
 
@@ -22,6 +23,25 @@
     return source_host, via.port
 
 
+def with_source_address(message: Message, host: str, port: int) -> tuple[Message, Via]:
+    """Returns a request with the address it came from in its topmost Via, and that Via as it was received.
+
+    That is `received` if the host differs (RFC 3261, 18.2.1), and the value of an empty `rport` (RFC 3581).
+    Raises AddressError if the Via is not valid.
+    """
+    first_via, *other_vias = split_unquoted(message.get("via"), ",")
+    via = parse_via(first_via)
+    marked_via = first_via.strip()
+    if via.host != host:
+        marked_via += f";received={host}"
+    if "rport" in via.params and not via.params["rport"]:
+        marked_via = marked_via.replace(";rport", f";rport={port}", 1)
+    value = ", ".join([marked_via, *(other_via.strip() for other_via in other_vias)])
+    index = next(position for position, (name, _) in enumerate(message.headers) if name == "via")
+    headers = (*message.headers[:index], ("via", value), *message.headers[index + 1 :])
+    return replace(message, headers=headers), via
+
+
 class ResponseFlow:
     """Sends the responses to one request.
 
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -15,6 +15,7 @@
 from landingdeal.lab.ports import free_port
 from landingdeal.operator_config import parse_operator_config
 from landingdeal.sip.front import SipFront
+from landingdeal.sip.message import encode, request
 from tests.scenario import TIMEOUT_S, play
 from tests.scenario_sip import ScenarioParty, SipHarness, operator_file
 
@@ -474,6 +475,20 @@
     close_parties(environment)
 
 
+@pytest.mark.parametrize(("rport", "receiver"), [("", "listener"), (";rport", "sender")])
+def test_a_malformed_datagram_is_refused_where_its_via_asks_for_it(rport: str, receiver: str) -> None:
+    """Without rport a response goes to the port of sent-by, not to the port that the datagram came from."""
+    environment = InProcessFront("udp")
+    parties = {name: ScenarioParty(name, "udp") for name in ("listener", "sender")}
+    environment.parties.update(parties)
+    via = f"SIP/2.0/UDP 127.0.0.1:{parties['listener'].port}{rport};branch=z9hG4bKm"
+    options = request("OPTIONS", "sip:127.0.0.1", ("via", via), ("to", "<sip:127.0.0.1>"), ("call-id", "m"),
+                      ("cseq", "1 OPTIONS"))  # fmt: skip
+    parties["sender"].sock.sendto(encode(options), ("127.0.0.1", environment.port))
+    play(environment, f"{receiver} expect 400 m")
+    close_parties(environment)
+
+
 @pytest.mark.parametrize("transport", ["udp", "tcp"])
 def test_a_slow_core_leaves_no_hub_ringing_for_a_cancelled_call(transport: str) -> None:
     """The ACK of the 487 ends the transaction of the caller before the core has handled the CANCEL."""
