SIP: a BYE whose connection ends before the response is sent on a new one

Cause: _send_bye ignored the final response, also the 503 that stands for a failed transport. Change: after such a 503 on a connection that had been made, the BYE goes to the dialog's next hop again, at most three times in all. A connection that cannot be made still ends it. Measured: both new scenarios failed before, with rport and without; they and the other SIP tests pass now.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -38,12 +38,14 @@
     Flow,
     ServerTransaction,
     SipTransactionState,
+    is_transport_failure,
     request_in_transaction,
 )
 from landingdeal.sip.transport import Tap
 from landingdeal.threads import start_thread
 
 MAX_CALLS = 4000
+MAX_BYE_ATTEMPTS = 3  # each on a new connection, if connections end before the response
 STATUS_BY_REFUSAL_REASON = {
     RefusalReason.BUSY: 486,
     RefusalReason.TIMED_OUT: 408,
@@ -383,7 +385,7 @@
             OUTCOMES_BY_STATUS.get(message.status, AttemptOutcome.ERROR),
             rejection_reason(message),
         )
-        if not message.get("via") and message.status == 503:  # the transport failed
+        if is_transport_failure(message):
             connected = transaction is None or transaction.flow.was_connected
             outcome = AttemptOutcome.CUT if connected else AttemptOutcome.UNREACHABLE
         elif message.status == 503 and reason is RejectionReason.NONE:
@@ -691,9 +693,18 @@
         if side.last_ack is None and not side.is_caller:
             self._send_ack(side, None)
         self._close_side(side)
-        flow = self._dialog_flow(side.dialog)
-        bye = side.dialog.make_request("BYE", self._new_via(flow), reason_header(cause))
-        self._start_client_transaction(flow, bye, lambda message: None)
+        self._start_bye(side.dialog, cause, MAX_BYE_ATTEMPTS)
+
+    def _start_bye(self, dialog: Dialog, cause: int, attempts_left: int) -> None:
+        """Sends BYE, and again on a new connection if the connection ends before the response."""
+        flow = self._dialog_flow(dialog)
+        bye = dialog.make_request("BYE", self._new_via(flow), reason_header(cause))
+
+        def on_response(message: Message) -> None:
+            if is_transport_failure(message) and flow.was_connected and attempts_left > 1:
+                self._start_bye(dialog, cause, attempts_left - 1)
+
+        self._start_client_transaction(flow, bye, on_response)
 
     def _close_side(self, side: DialogSide) -> None:
         """Removes a dialog that has ended; its pending re-INVITE gets a final response first (15.1.2)."""
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -276,6 +276,11 @@
         self.on_response(message)
 
 
+def is_transport_failure(message: Message) -> bool:
+    """Whether a final response stands for a failed transport: it was made locally, so it has no Via."""
+    return message.status == 503 and not message.get("via")
+
+
 def request_in_transaction(
     original_request: Message, method: str, *extra_headers: tuple[str, str]
 ) -> Message:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -329,6 +329,26 @@
         caller repeats 1
         caller send ACK a
     """,
+    "a BYE that meets a reset of the caller's connection is sent on a new one": ESTABLISHED_CALL + """
+        caller send OPTIONS b
+        caller expect 200 b
+        hub1 send BYE a
+        hub1 expect 200 a
+        caller expect BYE a
+        caller reset
+        caller expect BYE a
+        caller send 200 a of=BYE
+        caller wait 100
+    """,
+    "a BYE that meets a reset of the hub's connection is sent on a new one": ESTABLISHED_CALL + """
+        caller send BYE a
+        caller expect 200 a
+        hub1 expect BYE a
+        hub1 reset
+        hub1 expect BYE a
+        hub1 send 200 a of=BYE
+        hub1 wait 100
+    """,
     "a caller that sent its ACK on a new connection is unreachable: the call is released": """
         caller send INVITE a
         hub1 expect INVITE a
