SIP: a hub's answer on a new connection after a reset is acknowledged and released

A hub whose connection was reset during a set-up answered on a new connection, as it should: nothing came back, and the hub held a call that nobody had. Cause: the failure of the connection ended the client transaction, so that the 200 matched nothing and was dropped. Change: an INVITE that was sent keeps its transaction (state FAILED) for the usual time after its connection has ended; a 2xx that still arrives is acknowledged and released like one that crosses a CANCEL.

--- a/landingdeal/sip/call.py
+++ b/landingdeal/sip/call.py
@@ -102,7 +102,8 @@
     def __init__(self, call: SipCall, attempt: Attempt, hub: HubConfig) -> None:
         self.call, self.attempt, self.hub = call, attempt, hub
         self.transaction: ClientTransaction | None = None
-        self.provisional_received = self.cancelled = self.occupies_circuit = False
+        self.provisional_received = self.occupies_circuit = False
+        self.cancelled = self.failed = False  # how the attempt ended before a 2xx
         self.sides: dict[str, DialogSide] = {}  # by the To tag of the 2xx: a fork sends several
 
 
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -380,6 +380,7 @@
         self._release_circuit(leg)
         if leg.cancelled:
             return
+        leg.failed = True
         transaction = leg.transaction
         outcome, reason = (
             OUTCOMES_BY_STATUS.get(message.status, AttemptOutcome.ERROR),
@@ -411,14 +412,15 @@
         )
         self.dialog_sides[side.dialog.key] = side
         already_answered = call.hub_side is not None and not call.hub_side.dialog.terminated
+        attempt_over = leg.cancelled or leg.failed
         accepted = (
-            not leg.cancelled and not already_answered and not call.invite_transaction.final_response_sent
+            not attempt_over and not already_answered and not call.invite_transaction.final_response_sent
         )
         if accepted and not call.invite_transaction.request.body:
             side.last_ack = None  # the ACK of the caller will carry the answer to the offer of the hub
         else:
             self._send_ack(side, None)
-        if not accepted:  # a second fork, or the 2xx crossed our CANCEL: release it
+        if not accepted:  # a second fork, or the 2xx came after the end of the attempt: release it
             self._release_circuit(leg)
             self._send_bye(side, 16)
             return
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -74,6 +74,7 @@
     COMPLETED = "completed"
     CONFIRMED = "confirmed"
     ACCEPTED = "accepted"
+    FAILED = "failed"  # an INVITE whose connection ended; a 2xx may still arrive on another one
     TERMINATED = "terminated"
 
 
@@ -240,9 +241,14 @@
 
     def transport_failed(self) -> None:
         """Ends the transaction with a 503 if it still waits for a final response."""
-        if self.state in (SipTransactionState.CALLING, SipTransactionState.PROCEEDING):
+        if self.state not in (SipTransactionState.CALLING, SipTransactionState.PROCEEDING):
+            return
+        if self.is_invite and self.flow.was_connected:
+            self.state = SipTransactionState.FAILED
+            self.terminate_at(self.deadline_after(self.timing.transaction_timeout))
+        else:
             self.terminate()
-            self.on_response(response(Message(), 503))
+        self.on_response(response(Message(), 503))
 
     def response_received(self, message: Message) -> None:
         """Takes a response that matches this transaction, retransmissions included."""
@@ -255,8 +261,10 @@
             self._final_response_received(message)
         elif self.state is SipTransactionState.COMPLETED and self.ack is not None and message.status >= 300:
             self.flow.send(self.ack)
-        elif self.state is SipTransactionState.ACCEPTED and message.status < 300:
-            self.on_response(message)  # a retransmitted 2xx: its ACK was lost
+        elif (
+            self.state in (SipTransactionState.ACCEPTED, SipTransactionState.FAILED) and message.status < 300
+        ):
+            self.on_response(message)  # a retransmitted 2xx whose ACK was lost, or one on a new connection
 
     def _final_response_received(self, message: Message) -> None:
         if not self.is_invite:
--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -5,6 +5,7 @@
     caller send INVITE a drop=from        leaves a header out; also version=, branch=, cseq=, uri=, to=
     caller repeats 2                      waits until this many messages were received again, byte for byte
     hub1 expect INVITE a                  gives the name `a` to the call of this INVITE at that hub
+    hub1 answer_on_new_connection a       sends 200 to its INVITE, on a new connection to the address in Via
     hub1 send 200 a of=INVITE             responds to the last request of that method, by default INVITE
 
 1xx responses are skipped unless one is expected.
@@ -24,7 +25,7 @@
 from pathlib import Path
 
 from landingdeal.lab.ports import free_port
-from landingdeal.sip.address import parse_name_addr
+from landingdeal.sip.address import parse_name_addr, top_via
 from landingdeal.sip.message import MalformedMessage, Message, decode_datagram, encode, request, response
 from tests.scenario import BODY, ROOT, TIMEOUT_S, Mailbox, TcpConnection, check_message
 
@@ -198,6 +199,14 @@
             party.established_responses.setdefault(answered_request.call_id, message)
         connection.put(encode(message))
 
+    def _answer_on_new_connection(self, party: ScenarioParty, name: str) -> None:
+        """Answers the INVITE with 200 on a connection to the address in its Via (RFC 3261, 18.2.2)."""
+        key = party.call_ids[name], "INVITE"
+        via = top_via(party.received_requests[key][1].get_all("via"))
+        connection = TcpConnection(socket.create_connection((via.host, via.port)), party)
+        party.received_requests[key] = (connection, party.received_requests[key][1])
+        self._send_response(party, 200, name, "INVITE", [])
+
     def _send_request(
         self,
         party: ScenarioParty,
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -384,6 +384,21 @@
         hub2 send 200 b
         caller expect 200 a
     """,
+    "an answer on a new connection after the reset of the hub's connection is released": """
+        caller send INVITE a
+        hub1 expect INVITE a
+        hub1 send 180 a
+        caller expect 180 a
+        hub1 reset
+        hub2 expect INVITE b
+        hub1 answer_on_new_connection a
+        hub1 expect ACK a
+        hub1 expect BYE a
+        hub1 send 200 a of=BYE
+        hub2 send 200 b
+        caller expect 200 a
+        hub2 expect ACK b
+    """,
     "the hub's connection is reset during a re-INVITE": ESTABLISHED_CALL + """
         caller send INVITE a
         hub1 expect INVITE a
