SIP: a hub that is reset during a re-INVITE is released on a new connection

After a reset of the hub's connection during a caller's re-INVITE the caller got 503 and BYE, and the hub nothing: a hub that lives held the call on. Cause: a re-INVITE without a response was taken as proof that the dialog is gone at the peer; only 481 is one (12.2.1.2). Change: the peer gets a BYE, on a new connection if need be, unless it said 481. Measured: the new scenario failed before (no BYE), with rport and without; the SIP tests pass now.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -657,8 +657,9 @@
             else []
         )
         transaction.respond(self._make_response(original_reinvite, received_response.status, *retry_headers))
-        # the dialog no longer exists at the peer (12.2.1.2)
-        if received_response.status in (408, 481) or not received_response.get("via"):
+        if received_response.status in (408, 481) or not received_response.get("via"):  # 12.2.1.2
+            if received_response.status != 481:  # the dialog may still exist at the peer
+                self._send_bye(peer_side, CAUSE_CALL_CUT)
             self._end_call(side.call, CAUSE_CALL_CUT, peer_side)
 
     def _cancel_reinvite(self, reinvite: ServerTransaction) -> None:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -408,6 +408,14 @@
         caller expect BYE a
         caller wait 100
     """,
+    "a hub whose connection is reset during a re-INVITE is released on a new one": ESTABLISHED_CALL + """
+        caller send INVITE a
+        hub1 expect INVITE a
+        hub1 reset
+        caller expect 503 a
+        caller send ACK a
+        hub1 expect BYE a
+    """,
     "the caller's connection is reset during its re-INVITE, and it is unreachable": ESTABLISHED_CALL + """
         caller send INVITE a
         hub1 expect INVITE a
