SIP: a request that waits to be sent is withdrawn when its transaction ends

Callers that dialled again as they were told had two calls at the hub. Cause: a message that waits for a connection belonged to nobody. TcpFlow kept it in a list and sent whatever lay there once connected; _cancel_leg ended the client transaction, took the unconnected flow for proof that nothing had been sent, and left the INVITE in the list. Without the transaction the answers of the hub matched nothing. Evidence: a trace of one call: the INVITE is queued, the leg is cancelled and its transaction terminated with the INVITE still in the list, 300 ms later the connection comes up and sends it, and 180 and 200 are unmatched responses. Ruled out: the core (it cancelled the attempt in time), the length of the dial (a shorter one only narrows the window), a repeated INVITE. Change: net/pending_send.py says who owns a message that waits: its sender, until the thread that writes it claims it; one of claim and withdraw succeeds, in the list of the connection and in the send queue behind a peer that does not read. A client transaction owns its request and withdraws it when it is abandoned or ends; whether it was sent is known, not guessed from the connection. A message is reported to captures when it is written, so that a withdrawn one is not.

--- a/landingdeal/capture/replay.py
+++ b/landingdeal/capture/replay.py
@@ -24,6 +24,7 @@
 from landingdeal.capture.retries import RetryModel, RetryScheduler
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.net.link import Link, connect
+from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.loop import EventLoop, Work
 from landingdeal.sip.message import MalformedMessage, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Timing
@@ -80,11 +81,14 @@
                 if isinstance(message, Message):
                     self.received(message)
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
+        if pending is not None and not pending.claim():
+            return False
         try:
             self.sock.sendto(encode(message), socket.MSG_DONTWAIT, self.target)
         except OSError:
             self.failures += 1  # treated as a lost datagram; the transaction retransmits
+        return True
 
     def close(self) -> None:
         self.sock.close()
@@ -102,7 +106,7 @@
         self.sock.bind((host, 0))  # Via and Contact need the local port before the connection is established
         self.local: tuple[str, int] = self.sock.getsockname()[:2]
         self.link: Link | None = None
-        self.queued: list[Message] = []
+        self.queued: list[tuple[Message, PendingSend | None]] = []
         self.players: dict[str, CallPlayer] = {}
         self.alive, self.was_connected = True, False
 
@@ -122,8 +126,8 @@
         link.start()
         self.replay.connected()
         queued, self.queued = self.queued, []
-        for message in queued:
-            link.send(message)
+        for message, pending in queued:
+            self._send(link, message, pending)
 
     def _received(self, message: Message | MalformedMessage) -> None:
         if isinstance(message, Message):
@@ -132,11 +136,16 @@
     def _closed(self) -> None:
         self.replay.loop.post(lambda: self.replay.connection_lost(self))
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         if self.link is not None:
-            self.link.send(message)
-        elif self.alive:
-            self.queued.append(message)
+            return self._send(self.link, message, pending)
+        if self.alive:
+            self.queued.append((message, pending))
+        return self.alive
+
+    @staticmethod
+    def _send(link: Link, message: Message, pending: PendingSend | None) -> bool:
+        return link.send(message, still_wanted=pending.claim if pending is not None else None)
 
     def close(self) -> None:
         if self.link is not None:
--- /dev/null
+++ b/landingdeal/net/pending_send.py
@@ -0,0 +1,54 @@
+"""Who owns a message that waits to be sent, and who may withdraw it.
+
+The sender of a message owns it until a writer claims it. It may wait in the queue of a connection that is
+being established, then in the send queue of that connection; its `PendingSend` goes with it through both.
+Exactly one of `claim`, by the thread that is about to write the first byte, and `withdraw`, by the owner once
+the reason for sending it is gone, succeeds: the owner knows whether the peer may receive the message.
+"""
+
+from __future__ import annotations
+
+import threading
+from enum import Enum
+
+
+class PendingSendState(Enum):
+    """WAITING -> CLAIMED or WITHDRAWN; both are final."""
+
+    WAITING = "waiting"
+    CLAIMED = "claimed"
+    WITHDRAWN = "withdrawn"
+
+
+class PendingSend:
+    """The state of one message between its sender and the thread that writes it."""
+
+    __slots__ = ("_state", "_lock")
+
+    def __init__(self) -> None:
+        self._state, self._lock = PendingSendState.WAITING, threading.Lock()
+
+    def _transition(self, target: PendingSendState) -> bool:
+        with self._lock:
+            if self._state is not PendingSendState.WAITING:
+                return False
+            self._state = target
+            return True
+
+    def claim(self) -> bool:
+        """Called by the writer right before it writes; False if the message was withdrawn."""
+        return self._transition(PendingSendState.CLAIMED)
+
+    def withdraw(self) -> bool:
+        """Called by the owner; True if the message will never be sent, False if it is being or was sent."""
+        return self._transition(PendingSendState.WITHDRAWN)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the message is neither claimed nor withdrawn."""
+        return self._state is PendingSendState.WAITING
+
+    @property
+    def withdrawn(self) -> bool:
+        """Whether the message will never be sent."""
+        return self._state is PendingSendState.WITHDRAWN
--- a/landingdeal/sip/capture.py
+++ b/landingdeal/sip/capture.py
@@ -13,6 +13,7 @@
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.errors import ConfigError
 from landingdeal.log import log_text
+from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Message
 from landingdeal.sip.transport import ReceivedMessage, Tap
 
@@ -31,9 +32,12 @@
     ) -> None:
         self.tap, self.transport, self.local, self.remote = tap, transport, local, remote
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
+        if pending is not None and not pending.claim():
+            return False
         if self.tap is not None:
             self.tap.message_passed(self.transport, self.local, self.remote, message)
+        return True
 
 
 class CapturePlayback:
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -455,9 +455,8 @@
             for side in list(leg.sides.values()):
                 self._send_bye(side, 16)
             return
-        leg.cancelled = leg.transaction.abandoned = True
-        if not leg.transaction.flow.was_connected:  # the INVITE was never sent
-            leg.transaction.terminate()
+        leg.cancelled = True
+        if leg.transaction.abandon():  # the INVITE was never sent
             self._release_circuit(leg)
         elif leg.provisional_received:
             self._send_cancel(leg)  # otherwise only after a provisional response (9.1)
--- a/landingdeal/sip/response_flow.py
+++ b/landingdeal/sip/response_flow.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.address import Via, parse_via, split_unquoted
 from landingdeal.sip.message import Message
 from landingdeal.sip.transaction import Flow
@@ -56,10 +57,10 @@
         self.transport, self.reliable = request_flow.transport, request_flow.reliable
         self.host, self.port = response_address(via, host, port, self.reliable)
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         if not self.reliable or not self.current_flow.alive:
             self.current_flow = self.flow_to(self.transport, self.host, self.port)
-        self.current_flow.send(message)
+        return self.current_flow.send(message, pending)
 
 
 def carrying_flow(flow: Flow) -> Flow:
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import Protocol
 
+from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Message, request, response
 
 
@@ -53,7 +54,11 @@
     @property
     def was_connected(self) -> bool: ...
 
-    def send(self, message: Message) -> None: ...
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
+        """Sends a message or queues it until it can be written; False if it will never be sent.
+
+        With `pending`, whoever writes it claims it first, so that the sender may withdraw it until then.
+        """
 
 
 class TransactionServices(Protocol):
@@ -191,7 +196,7 @@
 
 
 class ClientTransaction(Transaction):
-    """An INVITE or non-INVITE client transaction.
+    """An INVITE or non-INVITE client transaction. It owns its request while that waits to be sent.
 
     `on_response` gets each provisional response, and the final one once (every 2xx to an INVITE). A time-out
     is reported as a 408 and a failed transport as a 503, both without Via (RFC 3261, 8.1.3.1).
@@ -208,12 +213,13 @@
         super().__init__(services, flow, message, key)
         self.is_invite = message.method == "INVITE"
         self.on_response = on_response
+        self.pending_request = PendingSend()
         self.abandoned = False
         self.ack: Message | None = None
 
     def start(self) -> None:
         """Sends the request and starts its timers."""
-        self.flow.send(self.request)
+        self.flow.send(self.request, self.pending_request)
         if not self.flow.reliable:  # timer A, or E
             max_interval = self.timing.transaction_timeout if self.is_invite else self.timing.t2
             retransmit_states = (
@@ -225,8 +231,28 @@
         # timer B, or F
         self.services.schedule_at(self.deadline_after(self.timing.transaction_timeout), self._timed_out)
 
+    def abandon(self) -> bool:
+        """Gives the request up: it is neither sent nor retransmitted from now on. Returns as `withdraw`."""
+        self.abandoned = True
+        return self.withdraw()
+
+    def withdraw(self) -> bool:
+        """Withdraws the request if it still waits to be sent.
+
+        Returns True if it was never sent: then the transaction has ended, and no response will come.
+        """
+        if not self.pending_request.withdraw():
+            return False
+        self.terminate()
+        return True
+
+    def terminate(self) -> None:
+        """Ends the transaction, and with it the reason for a request that still waits to be sent."""
+        self.pending_request.withdraw()
+        super().terminate()
+
     def _retransmit(self) -> None:
-        if not self.abandoned:  # a cancelled set-up is not sent to the hub again
+        if not self.abandoned:
             self.flow.send(self.request)
 
     def _timed_out(self) -> None:
@@ -243,7 +269,8 @@
         """Ends the transaction with a 503 if it still waits for a final response."""
         if self.state not in (SipTransactionState.CALLING, SipTransactionState.PROCEEDING):
             return
-        if self.is_invite and self.flow.was_connected:
+        never_sent = self.pending_request.withdraw()
+        if self.is_invite and not never_sent:
             self.state = SipTransactionState.FAILED
             self.terminate_at(self.deadline_after(self.timing.transaction_timeout))
         else:
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -12,6 +12,7 @@
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import log_text
 from landingdeal.net.link import Acceptor, Link, dial
+from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import MAX_MESSAGE_BYTES, MalformedMessage, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Flow
 from landingdeal.threads import start_thread
@@ -53,13 +54,28 @@
         self.sock, self.host, self.port, self.tap = sock, host, port, tap
         self.name = f"UDP {host}:{port}"
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
+        if pending is not None and not pending.claim():
+            return False
         if self.tap is not None:  # before sending, so that the answer is not reported first
             self.tap.message_passed("UDP", self.sock.getsockname()[:2], (self.host, self.port), message)
         try:
             self.sock.sendto(encode(message), socket.MSG_DONTWAIT, (self.host, self.port))
         except OSError as error:  # like a lost datagram: the transaction retransmits
             log_text(f"{self.name}: {error}")
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedMessage:
+    """A message that waits for its connection; with `pending`, its owner may still withdraw it."""
+
+    message: Message
+    pending: PendingSend | None
+
+    @property
+    def withdrawn(self) -> bool:
+        return self.pending is not None and self.pending.withdrawn
 
 
 class TcpFlow:
@@ -73,32 +89,46 @@
         self.local: tuple[str, int] = ("", 0)
         self.lock = threading.Lock()
         self.link: Link | None = None
-        self.queued: list[Message] = []
+        self.queued: list[QueuedMessage] = []
         self.alive = True
         self.was_connected = False
 
-    def send(self, message: Message) -> None:
+    def send(self, message: Message, pending: PendingSend | None = None) -> bool:
+        queued = QueuedMessage(message, pending)
         with self.lock:
-            if self.link is None:
-                if self.alive and len(self.queued) < MAX_QUEUED_MESSAGES:
-                    self.queued.append(message)
-                return
             link = self.link
-        self._send(link, message)
-
-    def _send(self, link: Link, message: Message) -> None:
+            if link is None:
+                return self.alive and self._enqueue(queued)
+        return self._send(link, queued)
+
+    def _enqueue(self, queued: QueuedMessage) -> bool:
+        """Queues a message for the connection that is being established; False if there is no room."""
+        if len(self.queued) >= MAX_QUEUED_MESSAGES:
+            self.queued = [waiting for waiting in self.queued if not waiting.withdrawn]
+        if len(self.queued) >= MAX_QUEUED_MESSAGES:
+            return False
+        self.queued.append(queued)
+        return True
+
+    def _send(self, link: Link, queued: QueuedMessage) -> bool:
+        return link.send(queued.message, still_wanted=lambda: self._begin_write(link, queued))
+
+    def _begin_write(self, link: Link, queued: QueuedMessage) -> bool:
+        """Called by the writer right before it sends a message; False if the message was withdrawn."""
+        if queued.pending is not None and not queued.pending.claim():
+            return False
         if self.tap is not None and link.alive:  # before sending, so that the answer is not reported first
-            self.tap.message_passed("TCP", self.local, (self.host, self.port), message)
-        link.send(message)
+            self.tap.message_passed("TCP", self.local, (self.host, self.port), queued.message)
+        return True
 
     def connected(self, link: Link) -> None:
-        """Takes the established connection and sends the queued messages."""
+        """Takes the established connection and passes the queued messages on to it."""
         with self.lock:
             self.link, self.was_connected = link, True
             self.local = link.sock.getsockname()[:2]
-            queued, self.queued = self.queued, []
-            for message in queued:
-                self._send(link, message)
+            waiting, self.queued = self.queued, []
+            for queued in waiting:
+                self._send(link, queued)
 
 
 class TransportLayer:
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -5,19 +5,15 @@
 import threading
 import time
 from pathlib import Path
-from typing import TypeVar
 
 import pytest
 
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, Offer, RefusalReason, SetUpCancelled
-from landingdeal.lab.ports import free_port
-from landingdeal.operator_config import parse_operator_config
-from landingdeal.sip.front import SipFront
 from landingdeal.sip.message import encode, request
 from tests.scenario import TIMEOUT_S, play
-from tests.scenario_sip import ScenarioParty, SipHarness, operator_file
+from tests.scenario_sip import ScenarioParty, SipHarness
+from tests.sip_front import InProcessFront
 
 ESTABLISHED_CALL = """
         caller send INVITE a
@@ -457,41 +453,11 @@
     assert "Traceback" not in log, log
 
 
-EventType = TypeVar("EventType")
-
-
-class InProcessFront(SipHarness):
-    """Runs the front in this process, without the program; the test takes the place of the core."""
-
-    def __init__(self, transport: str) -> None:
-        self.transport, self.port = transport, free_port()
-        self.parties = {"hub1": ScenarioParty("hub1", transport)}
-        operator = parse_operator_config(operator_file(self.port, self.parties))
-        assert operator.sip is not None and operator.settings is not None
-        self.inbox = Inbox()
-        self.front = SipFront(operator.sip, operator.settings, self.inbox, 1)
-        self.front.start()
-
-    def next_event(self, event_type: type[EventType]) -> EventType:
-        """Returns the next event of this type that the front reports to the core; skips others."""
-        deadline_ms = now_ms() + TIMEOUT_S * 1000
-        while now_ms() < deadline_ms:
-            for event in self.inbox.take(deadline_ms):
-                if isinstance(event, event_type):
-                    return event
-        raise AssertionError(f"no {event_type.__name__} event was reported")
-
-
 def wait_for(event: threading.Event) -> None:
     """Holds the calling thread until the test goes on."""
     assert event.wait(TIMEOUT_S)
 
 
-def close_parties(environment: InProcessFront) -> None:
-    for party in environment.parties.values():
-        party.sock.close()
-
-
 def test_a_final_response_goes_out_once_when_it_overtakes_the_end_of_the_connection() -> None:
     """The response goes to a new connection before the front has handled the end of the first one."""
     environment = InProcessFront("tcp")
@@ -515,7 +481,7 @@
     """,
     )  # the response to OPTIONS shows that the front has handled the end of the connection
     assert caller.repeat_count() == 0
-    close_parties(environment)
+    environment.close_parties()
 
 
 @pytest.mark.parametrize(("rport", "receiver"), [("", "listener"), (";rport", "sender")])
@@ -529,7 +495,7 @@
                       ("cseq", "1 OPTIONS"))  # fmt: skip
     parties["sender"].sock.sendto(encode(options), ("127.0.0.1", environment.port))
     play(environment, f"{receiver} expect 400 m")
-    close_parties(environment)
+    environment.close_parties()
 
 
 @pytest.mark.parametrize("transport", ["udp", "tcp"])
@@ -564,4 +530,4 @@
         hub1 expect ACK a
     """,
     )
-    close_parties(environment)
+    environment.close_parties()
--- /dev/null
+++ b/tests/test_sip_waiting.py
@@ -0,0 +1,89 @@
+"""Messages of the SIP front that wait to be sent: none goes out once the reason for it is gone."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from landingdeal.clock import now_ms
+from landingdeal.core.events import Attempt, AttemptEstablished, Offer, RefusalReason
+from landingdeal.net.link import dial
+from tests.scenario import TIMEOUT_S, play
+from tests.sip_front import InProcessFront
+
+DIAL_MS = 2000.0  # longer than any test holds a connection back
+
+
+class HeldConnections:
+    """Holds back the connections that the front makes, as a peer that is cut off does."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.proceed = threading.Event()
+
+        def held_dial(host: str, port: int, deadline_ms: float) -> socket.socket:
+            assert self.proceed.wait(TIMEOUT_S)
+            return dial(host, port, now_ms() + DIAL_MS)
+
+        monkeypatch.setattr("landingdeal.sip.transport.dial", held_dial)
+
+    def release(self) -> None:
+        self.proceed.set()
+
+
+@pytest.fixture
+def front() -> Iterator[InProcessFront]:
+    """A front with one hub on TCP; the test takes the place of the core."""
+    environment = InProcessFront("tcp")
+    yield environment
+    environment.close_parties()
+
+
+@pytest.fixture
+def held(monkeypatch: pytest.MonkeyPatch) -> HeldConnections:
+    return HeldConnections(monkeypatch)
+
+
+def offer_call(front: InProcessFront, name: str = "a") -> Attempt:
+    """A caller's set-up, as the core would send it to the hub."""
+    play(front, f"caller send INVITE {name}\n caller expect 100 {name}")
+    return Attempt(front.next_event(Offer), 0, b"hub1", now_ms(), now_ms() + 5000)
+
+
+def test_a_set_up_that_its_caller_cancelled_is_not_sent_when_the_connection_comes_up(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    attempt = offer_call(front)
+    front.front.set_up(attempt)
+    play(front, "caller send CANCEL a\n caller expect 200 a\n caller expect 487 a\n caller send ACK a")
+    front.front.cancel(attempt)
+    front.handle_posted_work()
+    held.release()
+    play(front, "hub1 wait 200")
+    assert front.front.used_circuits[b"hub1"] == 0
+
+
+def test_a_set_up_that_was_refused_in_time_is_not_sent_when_the_connection_comes_up(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    attempt = offer_call(front)
+    front.front.set_up(attempt)
+    front.front.cancel(attempt)
+    attempt.offer.caller.refuse(2000.0, RefusalReason.TIMED_OUT)
+    play(front, "caller expect 408 a\n caller send ACK a")
+    held.release()
+    play(front, "hub1 wait 200")
+    assert front.front.used_circuits[b"hub1"] == 0
+
+
+def test_only_the_set_ups_of_ended_calls_are_withdrawn(front: InProcessFront, held: HeldConnections) -> None:
+    cancelled, wanted = offer_call(front, "a"), offer_call(front, "b")
+    front.front.set_up(cancelled)
+    front.front.set_up(wanted)
+    front.front.cancel(cancelled)
+    front.handle_posted_work()
+    held.release()
+    play(front, "hub1 expect INVITE b\n hub1 send 200 b\n hub1 expect ACK b\n hub1 wait 100")
+    assert front.next_event(AttemptEstablished).attempt is wanted
