SIP: a request without room in the queue of its connection fails at once

The 65th request to a hub or caller whose connection was being established was dropped without notice: a set-up waited for the timer of the core, a BYE was lost and its call stood. Change: send says whether the message can be sent, and a client transaction whose request can't be ends as after a failed connection. Measured: the new test failed before (no event until the dial ended) and passes now.

--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -207,8 +207,8 @@
         branch = parse_via(message.get("via")).branch
         transaction = ClientTransaction(self, flow, message, f"{branch}|{message.method}", on_response)
         self.client_transactions[transaction.key] = transaction
-        transaction.start()
-        if not flow.alive:
+        accepted = transaction.start()
+        if not accepted or not flow.alive:
             self.event_loop.post(transaction.transport_failed)
         return transaction
 
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -217,9 +217,9 @@
         self.abandoned = False
         self.ack: Message | None = None
 
-    def start(self) -> None:
-        """Sends the request and starts its timers."""
-        self.flow.send(self.request, self.pending_request)
+    def start(self) -> bool:
+        """Sends the request and starts its timers; False if the request can't be sent."""
+        accepted = self.flow.send(self.request, self.pending_request)
         if not self.flow.reliable:  # timer A, or E
             max_interval = self.timing.transaction_timeout if self.is_invite else self.timing.t2
             retransmit_states = (
@@ -230,6 +230,7 @@
             self.schedule_retransmits(self.timing.t1, max_interval, retransmit_states, self._retransmit)
         # timer B, or F
         self.services.schedule_at(self.deadline_after(self.timing.transaction_timeout), self._timed_out)
+        return accepted
 
     def abandon(self) -> bool:
         """Gives the request up: it is neither sent nor retransmitted from now on. Returns as `withdraw`."""
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -8,12 +8,21 @@
 
 import pytest
 
+from badgerstile.interface import AttemptOutcome
 from landingdeal.clock import now_ms
-from landingdeal.core.events import Attempt, AttemptEstablished, Offer, RefusalReason
+from landingdeal.core.events import (
+    Attempt,
+    AttemptEstablished,
+    AttemptFailed,
+    Offer,
+    RefusalReason,
+)
 from landingdeal.net.link import dial
+from landingdeal.sip.transport import MAX_QUEUED_MESSAGES
 from tests.scenario import TIMEOUT_S, play
 from tests.sip_front import InProcessFront
 
+RETRANSMITS_MS = 450.0  # at T1 = 50 ms a 2xx is retransmitted three times in it
 DIAL_MS = 2000.0  # longer than any test holds a connection back
 
 
@@ -87,3 +96,14 @@
     held.release()
     play(front, "hub1 expect INVITE b\n hub1 send 200 b\n hub1 expect ACK b\n hub1 wait 100")
     assert front.next_event(AttemptEstablished).attempt is wanted
+
+
+def test_a_set_up_without_room_in_the_queue_of_its_connection_fails_at_once(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    attempts = [offer_call(front, f"c{number}") for number in range(MAX_QUEUED_MESSAGES + 1)]
+    for attempt in attempts:
+        front.front.set_up(attempt)
+    failed = front.next_event(AttemptFailed)
+    assert failed.attempt is attempts[-1] and failed.outcome is AttemptOutcome.UNREACHABLE
+    held.release()
