SIP: a set-up that the core decides after the caller's CANCEL is not sent

A caller's CANCEL was answered (200, 487) while the core had already posted a set-up: the hub got the INVITE after the final answer, rang, and got its CANCEL only after a provisional response. Cause: work posted to the event loop is a message that waits, too; _send_invite asked whether the call was still known, not whether it had its final response. Change: _send_invite asks for that; the core ends the attempt when it handles the CANCEL. Measured: the new test failed before over UDP and TCP and passes now.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -341,6 +341,8 @@
         remaining_ms = attempt.deadline_ms - self.now()
         if remaining_ms <= 0:
             return  # the timer of the core ends this attempt
+        if call.invite_transaction.final_response_sent:
+            return  # cancelled while this attempt was posted: the core ends it when it handles the CANCEL
         leg = call.legs[attempt.number] = HubLeg(call, attempt, hub)
         flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port, attempt.deadline_ms)
         invite = call.invite_transaction.request
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -107,3 +107,16 @@
     failed = front.next_event(AttemptFailed)
     assert failed.attempt is attempts[-1] and failed.outcome is AttemptOutcome.UNREACHABLE
     held.release()
+
+
+@pytest.mark.parametrize("transport", ["udp", "tcp"])
+def test_a_set_up_that_the_core_decides_after_the_callers_cancel_is_not_sent(transport: str) -> None:
+    environment = InProcessFront(transport)
+    attempt = offer_call(environment)
+    play(environment, "caller send CANCEL a\n caller expect 200 a\n caller expect 487 a")
+    environment.front.set_up(attempt)
+    play(environment, "hub1 wait 200")
+    environment.front.cancel(attempt)
+    environment.handle_posted_work()
+    assert environment.front.used_circuits[b"hub1"] == 0
+    environment.close_parties()
