SIP: a re-INVITE or OPTIONS that waits is withdrawn when its reason is gone

A re-INVITE that waited for a new connection to the peer went out after its sender had cancelled it, which had got no 487 until then; when the call had ended meanwhile, the peer got OPTIONS and re-INVITE of the ended call before the BYE. Change: a CANCEL withdraws a re-INVITE that was not sent and answers it with 487 at once; the end of a dialog withdraws the re-INVITE and the OPTIONS of its peer. Measured: both new tests failed before and pass now.

--- a/landingdeal/sip/call.py
+++ b/landingdeal/sip/call.py
@@ -88,7 +88,7 @@
         self.unacknowledged = -1  # sequence number of the INVITE whose 2xx from us has no ACK yet; -1: none
         self.deferred_bye_cause = -1  # cause of a BYE that has to wait for that ACK; -1: none
         self.last_ack: Message | None = None  # the last ACK that we sent to this peer
-        self.checking_peer = False  # an OPTIONS to this peer is pending
+        self.peer_check: ClientTransaction | None = None  # a pending OPTIONS to this peer
 
     @property
     def peer_side(self) -> DialogSide | None:
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -666,7 +666,12 @@
     def _cancel_reinvite(self, reinvite: ServerTransaction) -> None:
         """Forwards CANCEL to the other peer, whose final response then ends the re-INVITE."""
         for side in list(self.dialog_sides.values()):
-            if side.incoming_reinvite is reinvite:
+            if side.incoming_reinvite is not reinvite:
+                continue
+            if side.forwarded_reinvite is not None and side.forwarded_reinvite.withdraw():
+                side.incoming_reinvite = None
+                reinvite.respond(self._make_response(reinvite.request, 487))
+            else:
                 side.cancel_pending = True
                 self._forward_cancel(side)
 
@@ -717,6 +722,9 @@
         if side.incoming_reinvite is not None:
             side.incoming_reinvite.respond(self._make_response(side.incoming_reinvite.request, 487))
             side.incoming_reinvite = None
+        for transaction in (side.forwarded_reinvite, side.peer_check):
+            if transaction is not None:
+                transaction.withdraw()
         self.dialog_sides.pop(side.dialog.key, None)
         if not side.is_caller:
             for leg in side.call.legs.values():
@@ -806,14 +814,13 @@
 
     def _check_peer(self, side: DialogSide) -> None:
         """Sends OPTIONS within the dialog and ends the call if the peer is not reachable."""
-        if side.checking_peer:
+        if side.peer_check is not None:
             return
-        side.checking_peer = True
 
         def on_response(message: Message) -> None:
             if message.status < 200:
                 return
-            side.checking_peer = False
+            side.peer_check = None
             unreachable = message.status in (408, 481) or not message.get("via")
             if unreachable and not side.dialog.terminated:
                 peer_name = "caller" if side.is_caller else "lab hub"
@@ -821,6 +828,6 @@
                 self._end_call(side.call, CAUSE_CALL_CUT, side)
 
         flow = self._dialog_flow(side.dialog)
-        self._start_client_transaction(
+        side.peer_check = self._start_client_transaction(
             flow, side.dialog.make_request("OPTIONS", self._new_via(flow)), on_response
         )
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -120,3 +121,55 @@
     environment.handle_posted_work()
     assert environment.front.used_circuits[b"hub1"] == 0
     environment.close_parties()
+
+
+def establish_and_reset_hub(front: InProcessFront, held: HeldConnections) -> None:
+    """Establishes a call, then resets the hub's connection; a new one is held back."""
+    attempt = offer_call(front)
+    held.release()
+    front.front.set_up(attempt)
+    play(front, "hub1 expect INVITE a\n hub1 send 200 a\n hub1 expect ACK a")
+    attempt.offer.caller.answer(front.next_event(AttemptEstablished).description)
+    play(front, "caller expect 200 a\n caller send ACK a\n caller send OPTIONS b\n caller expect 200 b")
+    held.proceed.clear()
+    play(front, "hub1 reset")
+    while any(flow.port == front.parties["hub1"].port for flow in front.front.transport_layer.flows.values()):
+        time.sleep(0.005)
+    front.handle_posted_work()
+
+
+def test_a_reinvite_that_waits_for_its_connection_is_withdrawn_by_its_cancel(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    establish_and_reset_hub(front, held)
+    play(
+        front,
+        """
+        caller send INVITE a
+        caller expect 100 a
+        caller send CANCEL a
+        caller expect 200 a
+        caller expect 487 a
+        caller send ACK a
+    """,
+    )
+    held.release()
+    play(front, "hub1 expect OPTIONS a\n hub1 send 200 a of=OPTIONS\n hub1 wait 200")
+
+
+def test_messages_of_a_call_that_wait_for_a_connection_give_way_to_its_release(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    establish_and_reset_hub(front, held)
+    play(
+        front,
+        """
+        caller send INVITE a
+        caller expect 100 a
+        caller send BYE a
+        caller expect 200 a
+        caller expect 487 a
+    """,
+    )
+    held.release()
+    play(front, "hub1 expect BYE a\n hub1 send 200 a of=BYE\n hub1 wait 200")
