SIP: a probe is neither sent nor retransmitted after its deadline

A hub that was cut off got the OPTIONS of probes that had already been reported as failed, once its connection came up; over UDP a probe was retransmitted for 32 s (at T1 = 500 ms), whatever its deadline. Cause: the deadline of a probe ended the wait for its response, not its client transaction. Change: the transaction is abandoned at the deadline. Measured: both new tests failed before (an OPTIONS after the cut; two retransmissions in 300 ms) and pass now.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -521,8 +521,13 @@
             ("from", f"<sip:landingdeal@{self.config.host}>;tag={self._new_tag()}"), ("to", f"<{uri}>"),
             ("call-id", self._new_tag() + self._new_tag()), ("cseq", "1 OPTIONS"),
         )  # fmt: skip
-        self.schedule_at(deadline_ms, lambda: on_response(response(Message(), 408)))
-        self._start_client_transaction(flow, options, on_response)
+        transaction = self._start_client_transaction(flow, options, on_response)
+
+        def on_deadline() -> None:
+            transaction.abandon()
+            on_response(response(Message(), 408))
+
+        self.schedule_at(deadline_ms, on_deadline)
 
     # --- requests within dialogs ---
 
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -16,6 +16,7 @@
     AttemptEstablished,
     AttemptFailed,
     Offer,
+    ProbeCompleted,
     RefusalReason,
 )
 from landingdeal.net.link import dial
@@ -173,3 +174,19 @@
     )
     held.release()
     play(front, "hub1 expect BYE a\n hub1 send 200 a of=BYE\n hub1 wait 200")
+
+
+def test_a_probe_is_not_sent_after_its_deadline(front: InProcessFront, held: HeldConnections) -> None:
+    front.front.probe(b"hub1", now_ms() + 100)
+    assert not front.next_event(ProbeCompleted).succeeded
+    held.release()
+    play(front, "hub1 wait 200")
+
+
+def test_a_probe_over_udp_is_not_retransmitted_after_its_deadline() -> None:
+    environment = InProcessFront("udp")
+    environment.front.probe(b"hub1", now_ms() + 20)
+    assert not environment.next_event(ProbeCompleted).succeeded
+    play(environment, "hub1 expect OPTIONS\n hub1 wait 300")
+    assert environment.parties["hub1"].repeat_count() == 0
+    environment.close_parties()
