SIP: a response that still waits for a connection is not queued again

A caller whose connection had ended got its 2xx several times at once when a new connection came up late: four copies after 450 ms at T1 = 50 ms; each took one of the 64 places of that connection's queue. Cause: the retransmission timer sent the 2xx past its server transaction, and the flow queued each copy. Change: a server transaction owns its last response while that waits, and sends it again only when it has been written or its connection has ended. The timer of the 2xx goes through it.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -297,7 +297,7 @@
         def schedule_retransmit(interval: float) -> None:
             def on_timer() -> None:
                 if side.unacknowledged == sequence_number and not side.dialog.terminated:
-                    transaction.flow.send(final_response)
+                    transaction.retransmit_response()
                     schedule_retransmit(min(2 * interval, self.timing.t2))
 
             self.schedule_at(self.now() + interval, on_timer)
@@ -810,7 +810,7 @@
             if transaction.state is SipTransactionState.COMPLETED:
                 # a peer that keeps closing new connections is not dialled without a pause
                 delay_ms = 0.0 if flow is response_flow.request_flow else self.timing.t1
-                self.schedule_at(self.now() + delay_ms, transaction.request_retransmitted)
+                self.schedule_at(self.now() + delay_ms, transaction.retransmit_response)
             return
         call = self.early_calls.get(transaction.key)
         side = call.caller_side if call is not None else None
--- a/landingdeal/sip/response_flow.py
+++ b/landingdeal/sip/response_flow.py
@@ -50,13 +50,18 @@
     while it is alive, then a new connection to the address in Via.
     """
 
-    alive = was_connected = True
+    was_connected = True
 
     def __init__(self, flow_to: FlowTo, request_flow: Flow, host: str, port: int, via: Via) -> None:
         self.flow_to, self.request_flow, self.current_flow = flow_to, request_flow, request_flow
         self.transport, self.reliable = request_flow.transport, request_flow.reliable
         self.host, self.port = response_address(via, host, port, self.reliable)
 
+    @property
+    def alive(self) -> bool:
+        """Whether the flow that carried the last response is alive."""
+        return self.current_flow.alive
+
     def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         if not self.reliable or not self.current_flow.alive:
             self.current_flow = self.flow_to(self.transport, self.host, self.port)
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -144,7 +144,7 @@
         self.is_invite = message.method == "INVITE"
         self.state = SipTransactionState.PROCEEDING
         self.last_response: Message | None = None
-        self.on_unacknowledged: Callable[[], None] | None = None
+        self.pending_response = PendingSend()
 
     @property
     def final_response_sent(self) -> bool:
@@ -153,19 +153,30 @@
 
     def request_retransmitted(self) -> None:
         """Absorbs a retransmission of the request and sends the last response again."""
-        if self.last_response is not None and self.state in (
+        self.retransmit_response()
+
+    def retransmit_response(self) -> None:
+        """Sends the last response again, unless it still waits to be sent on a connection that lives."""
+        if self.last_response is None or self.state not in (
             SipTransactionState.PROCEEDING,
             SipTransactionState.COMPLETED,
             SipTransactionState.ACCEPTED,
         ):
-            self.flow.send(self.last_response)
+            return
+        if self.flow.alive and self.pending_response.waiting:
+            return
+        self._send_response(self.last_response)
+
+    def _send_response(self, message: Message) -> None:
+        self.last_response, self.pending_response = message, PendingSend()
+        if not self.flow.send(message, self.pending_response):
+            self.pending_response.withdraw()
 
     def respond(self, message: Message) -> bool:
         """Sends a response; returns False if the final response was sent before, as there is only one."""
         if self.final_response_sent:
             return False
-        self.last_response = message
-        self.flow.send(message)
+        self._send_response(message)
         if message.status < 200:
             return True
         if not self.is_invite:
@@ -183,7 +194,7 @@
                     self.timing.t1,
                     self.timing.t2,
                     (SipTransactionState.COMPLETED,),
-                    self.request_retransmitted,
+                    self.retransmit_response,
                 )
             self.terminate_at(self.deadline_after(self.timing.transaction_timeout))  # timer H
         return True
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -190,3 +190,21 @@
     play(environment, "hub1 expect OPTIONS\n hub1 wait 300")
     assert environment.parties["hub1"].repeat_count() == 0
     environment.close_parties()
+
+
+def test_a_2xx_that_waits_for_a_connection_is_not_queued_again(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    attempt = offer_call(front)
+    held.release()
+    front.front.set_up(attempt)
+    play(front, "hub1 expect INVITE a\n hub1 send 200 a\n hub1 expect ACK a")
+    held.proceed.clear()
+    play(front, "caller close")
+    while len(front.front.transport_layer.flows) > 1:
+        time.sleep(0.005)
+    attempt.offer.caller.answer(front.next_event(AttemptEstablished).description)
+    time.sleep(RETRANSMITS_MS / 1000)
+    held.release()
+    play(front, "caller expect 200 a\n caller send ACK a\n caller send OPTIONS b\n caller expect 200 b")
+    assert front.parties["caller"].repeat_count() == 0
