SIP: a set-up with little time left does not end the dial of the others

Set-ups to a hub on TCP that was slow to accept failed as unreachable when the time of another one was up, though their own callers still had seconds. Cause: the connection that several set-ups share was dialled until the deadline of the one that began it. A set-up whose time is up is withdrawn by itself now, so nothing else needs the shorter dial.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -344,7 +344,7 @@
         if call.invite_transaction.final_response_sent:
             return  # cancelled while this attempt was posted: the core ends it when it handles the CANCEL
         leg = call.legs[attempt.number] = HubLeg(call, attempt, hub)
-        flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port, attempt.deadline_ms)
+        flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port)
         invite = call.invite_transaction.request
         user = parse_uri(invite.uri).user
         max_forwards = max(int(invite.get("max-forwards", "70")) - 1, 0)
@@ -514,7 +514,7 @@
                     )
                 )
 
-        flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port, deadline_ms)
+        flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port)
         uri = f"sip:load@{hub.host}:{hub.port}"
         options = request(
             "OPTIONS", uri, ("via", self._new_via(flow)), ("max-forwards", "70"),
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -172,7 +172,7 @@
         with self.lock:
             return sum(link.alive and link.unsent() > 0 for link in self.flows)
 
-    def flow_to(self, transport: str, host: str, port: int, deadline_ms: float | None = None) -> Flow:
+    def flow_to(self, transport: str, host: str, port: int) -> Flow:
         """Returns a flow to an address. A TCP connection is reused, or dialled in another thread."""
         if transport != "TCP":
             return UdpFlow(self.udp, host, port, self.tap)
@@ -181,13 +181,12 @@
             if flow is not None and flow.alive:
                 return flow
             flow = self.outgoing[host, port] = TcpFlow(host, port, self.tap)
-        dial_deadline_ms = deadline_ms if deadline_ms is not None else now_ms() + DIAL_TIMEOUT_MS
-        start_thread("dial", lambda: self._dial(flow, min(dial_deadline_ms, now_ms() + DIAL_TIMEOUT_MS)))
+        start_thread("dial", lambda: self._dial(flow))
         return flow
 
-    def _dial(self, flow: TcpFlow, deadline_ms: float) -> None:
+    def _dial(self, flow: TcpFlow) -> None:
         try:
-            sock = dial(flow.host, flow.port, deadline_ms)
+            sock = dial(flow.host, flow.port, now_ms() + DIAL_TIMEOUT_MS)
         except OSError:
             flow.alive = False
             self.on_flow_ended(flow)
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -6,11 +6,12 @@
 import threading
 import time
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 
 from badgerstile.interface import AttemptOutcome
-from landingdeal.clock import now_ms
+from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.events import (
     Attempt,
     AttemptEstablished,
@@ -25,7 +26,6 @@
 from tests.sip_front import InProcessFront
 
 RETRANSMITS_MS = 450.0  # at T1 = 50 ms a 2xx is retransmitted three times in it
-DIAL_MS = 2000.0  # longer than any test holds a connection back
 
 
 class HeldConnections:
@@ -35,8 +35,9 @@
         self.proceed = threading.Event()
 
         def held_dial(host: str, port: int, deadline_ms: float) -> socket.socket:
-            assert self.proceed.wait(TIMEOUT_S)
-            return dial(host, port, now_ms() + DIAL_MS)
+            if not self.proceed.wait(seconds_until(deadline_ms)):
+                raise TimeoutError("timed out")
+            return dial(host, port, now_ms() + TIMEOUT_S * 1000)
 
         monkeypatch.setattr("landingdeal.sip.transport.dial", held_dial)
 
@@ -208,3 +209,17 @@
     held.release()
     play(front, "caller expect 200 a\n caller send ACK a\n caller send OPTIONS b\n caller expect 200 b")
     assert front.parties["caller"].repeat_count() == 0
+
+
+def test_a_set_up_outlives_the_one_whose_connection_it_shares(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    short, long = offer_call(front, "a"), offer_call(front, "b")
+    short = replace(short, deadline_ms=now_ms() + 100)
+    front.front.set_up(short)
+    front.front.set_up(long)
+    time.sleep(0.2)
+    front.front.cancel(short)
+    front.handle_posted_work()
+    held.release()
+    play(front, "hub1 expect INVITE b\n hub1 send 200 b\n hub1 expect ACK b\n hub1 wait 100")
