SIP: a connection that gets no thread fails, with the messages that wait for it

When the system refused the thread that dials a hub, or one of the two of its connection, every later message to that hub waited for ever: no set-up, release or probe reached it until the program was started again. Cause: the flow stayed alive without a connection and was reused for each message; nobody reported its end. Change: a refused thread ends the flow like a refused connect, so that the next message dials again. Measured: both cases of the new test failed before and pass now.

--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections.abc import Callable
@@ -181,17 +182,24 @@
             if flow is not None and flow.alive:
                 return flow
             flow = self.outgoing[host, port] = TcpFlow(host, port, self.tap)
-        start_thread("dial", lambda: self._dial(flow))
+        try:
+            start_thread("dial", lambda: self._dial(flow))
+        except RuntimeError:  # the system has no thread left
+            self._dial_failed(flow)
         return flow
 
     def _dial(self, flow: TcpFlow) -> None:
         try:
             sock = dial(flow.host, flow.port, now_ms() + DIAL_TIMEOUT_MS)
         except OSError:
-            flow.alive = False
-            self.on_flow_ended(flow)
+            self._dial_failed(flow)
             return
-        self._start_connection(flow, sock)
+        with contextlib.suppress(RuntimeError):  # the connection has ended, which is logged and reported
+            self._start_connection(flow, sock)
+
+    def _dial_failed(self, flow: TcpFlow) -> None:
+        flow.alive = False
+        self.on_flow_ended(flow)
 
     def _accept_connection(self, sock: socket.socket) -> None:
         try:
@@ -213,7 +221,12 @@
         with self.lock:
             self.flows[link] = flow
         flow.connected(link)
-        link.start()
+        try:
+            link.start()
+        except RuntimeError:  # the system has no thread left
+            link.close()
+            self._connection_ended(flow, link, reset=False)
+            raise
 
     def _message_received(self, flow: TcpFlow, message: Message | MalformedMessage) -> None:
         if self.tap is not None and isinstance(message, Message):
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -5,7 +5,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 
 import pytest
@@ -21,7 +21,9 @@
     RefusalReason,
 )
 from landingdeal.net.link import dial
+from landingdeal.sip.message import Message
 from landingdeal.sip.transport import MAX_QUEUED_MESSAGES
+from landingdeal.threads import start_thread
 from tests.scenario import TIMEOUT_S, play
 from tests.sip_front import InProcessFront
 
@@ -125,6 +127,10 @@
     environment.close_parties()
 
 
+def is_set_up_of(attempt: Attempt, message: Message) -> bool:
+    return message.method == "INVITE" and message.call_id == f"{attempt.offer.call_id}-{attempt.number}"
+
+
 def establish_and_reset_hub(front: InProcessFront, held: HeldConnections) -> None:
     """Establishes a call, then resets the hub's connection; a new one is held back."""
     attempt = offer_call(front)
@@ -223,3 +229,29 @@
     front.handle_posted_work()
     held.release()
     play(front, "hub1 expect INVITE b\n hub1 send 200 b\n hub1 expect ACK b\n hub1 wait 100")
+
+
+@pytest.mark.parametrize("refused", ["dial", "reader"])
+def test_a_set_up_whose_connection_gets_no_thread_fails_and_the_next_is_dialled(
+    refused: str, front: InProcessFront, held: HeldConnections, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    module = "landingdeal.sip.transport" if refused == "dial" else "landingdeal.net.link"
+    attempts = offer_call(front, "a"), offer_call(front, "b")
+    refusals = [refused]
+
+    def start(name: str, work: Callable[[], None], retry_for_ms: float = 0.0) -> threading.Thread:
+        if name in refusals:
+            refusals.remove(name)
+            raise RuntimeError("can't start new thread")
+        return start_thread(name, work, retry_for_ms)
+
+    monkeypatch.setattr(f"{module}.start_thread", start)
+    front.front.set_up(attempts[0])
+    front.handle_posted_work()
+    held.release()
+    failed = front.next_event(AttemptFailed)
+    assert failed.attempt is attempts[0] and failed.outcome is not AttemptOutcome.TIMED_OUT
+    front.front.set_up(attempts[1])
+    received = front.parties["hub1"].received
+    while (message := received.get(timeout=TIMEOUT_S)[1]) is None or not is_set_up_of(attempts[1], message):
+        pass
