SIP: a connection that ends during the check of a peer does not end its call

An established call was ended on both sides when the connection on which its caller or hub was being asked (OPTIONS) ended before the response, though the peer lived; a dialog belongs to no connection. Cause: the check took any failure of its transport for an unreachable peer, also that of a connection that had been made. Change: the check is sent again on a new connection, by the same rule and as often as a BYE. Measured: the new scenario failed before, with rport and without, and passes now.

--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -45,7 +45,7 @@
 from landingdeal.threads import start_thread
 
 MAX_CALLS = 4000
-MAX_BYE_ATTEMPTS = 3  # each on a new connection, if connections end before the response
+MAX_REQUEST_ATTEMPTS = 3  # of BYE and OPTIONS, if connections end before the response
 STATUS_BY_REFUSAL_REASON = {
     RefusalReason.BUSY: 486,
     RefusalReason.TIMED_OUT: 408,
@@ -64,6 +64,11 @@
     return [("content-type", message.get("content-type", "application/sdp"))] if message.body else []
 
 
+def may_send_again(final_response: Message, flow: Flow, attempts_left: int) -> bool:
+    """Whether a request is sent again: its connection ended before the response, so the peer may be alive."""
+    return is_transport_failure(final_response) and flow.was_connected and attempts_left > 1
+
+
 class SipFront(TransactionLayer):
     """The transaction user: maps attempts of the core to SIP dialogs, and messages to core events."""
 
@@ -707,7 +712,7 @@
         if side.last_ack is None and not side.is_caller:
             self._send_ack(side, None)
         self._close_side(side)
-        self._start_bye(side.dialog, cause, MAX_BYE_ATTEMPTS)
+        self._start_bye(side.dialog, cause, MAX_REQUEST_ATTEMPTS)
 
     def _start_bye(self, dialog: Dialog, cause: int, attempts_left: int) -> None:
         """Sends BYE, and again on a new connection if the connection ends before the response."""
@@ -715,7 +720,7 @@
         bye = dialog.make_request("BYE", self._new_via(flow), reason_header(cause))
 
         def on_response(message: Message) -> None:
-            if is_transport_failure(message) and flow.was_connected and attempts_left > 1:
+            if may_send_again(message, flow, attempts_left):
                 self._start_bye(dialog, cause, attempts_left - 1)
 
         self._start_client_transaction(flow, bye, on_response)
@@ -817,22 +822,27 @@
         if side is not None and side.unacknowledged >= 0:  # the 2xx is not deliverable
             self._end_call(side.call, CAUSE_CALL_CUT, side)
 
-    def _check_peer(self, side: DialogSide) -> None:
+    def _check_peer(self, side: DialogSide, attempts_left: int = MAX_REQUEST_ATTEMPTS) -> None:
         """Sends OPTIONS within the dialog and ends the call if the peer is not reachable."""
         if side.peer_check is not None:
             return
+        flow = self._dialog_flow(side.dialog)
 
         def on_response(message: Message) -> None:
             if message.status < 200:
                 return
             side.peer_check = None
+            if side.dialog.terminated:
+                return
+            if may_send_again(message, flow, attempts_left):
+                self._check_peer(side, attempts_left - 1)
+                return
             unreachable = message.status in (408, 481) or not message.get("via")
-            if unreachable and not side.dialog.terminated:
+            if unreachable:
                 peer_name = "caller" if side.is_caller else "lab hub"
                 log_text(f"call {side.call.key}: the {peer_name} is unreachable, ending the call")
                 self._end_call(side.call, CAUSE_CALL_CUT, side)
 
-        flow = self._dialog_flow(side.dialog)
         side.peer_check = self._start_client_transaction(
             flow, side.dialog.make_request("OPTIONS", self._new_via(flow)), on_response
         )
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -345,6 +345,20 @@
         hub1 send 200 a of=BYE
         hub1 wait 100
     """,
+    "a connection that closes during the check of its peer does not end an established call": ESTABLISHED_CALL
+    + """
+        caller send OPTIONS b
+        caller expect 200 b
+        caller close
+        caller expect OPTIONS a
+        caller reset
+        caller expect OPTIONS a
+        caller send 200 a of=OPTIONS
+        hub1 wait 150
+        hub1 send BYE a
+        hub1 expect 200 a
+        caller expect BYE a
+    """,
     "a caller that sent its ACK on a new connection is unreachable: the call is released": """
         caller send INVITE a
         hub1 expect INVITE a
