Replay: a call cancelled while its connection is made is not sent

A replayed call whose recorded CANCEL fell into the time of the connect was set up afterwards all the same, and cancelled then: the program under load saw an INVITE later than the caller's patience, which the report counted as a 487. Change: CallPlayer.cancel withdraws an INVITE that was not sent; the call is then cancelled without an answer. Measured: the new test failed before (487, two INVITEs) and passes now.

--- a/landingdeal/capture/player.py
+++ b/landingdeal/capture/player.py
@@ -141,7 +141,11 @@
         if self.cancel_requested or self.finished or transaction is None or self.result.final_answers:
             return
         self.cancel_requested = True
-        if self.provisional_received:  # otherwise the CANCEL waits for a provisional response (9.1)
+        if transaction.withdraw():  # the INVITE was never sent
+            self.result.outcome = Outcome.CANCELLED
+            self.on_answered(self)
+            self._finish()
+        elif self.provisional_received:  # otherwise the CANCEL waits for a provisional response (9.1)
             self._send_cancel()
 
     def _send_cancel(self) -> None:
--- a/tests/test_capture_replay.py
+++ b/tests/test_capture_replay.py
@@ -34,6 +34,7 @@
 from landingdeal.errors import ConfigError
 from landingdeal.lab.answerer import StubBehaviour, StubUserAgent
 from landingdeal.lab.ports import free_port
+from landingdeal.net.link import connect
 from tests.scenario import ROOT, TIMEOUT_S
 
 SHORT_CALLS = Traffic(
@@ -354,3 +355,24 @@
     assert totals["skipped"] + totals["calls"] == 120 and totals["skipped"] >= before
     assert len(answerer.received.invites) == before + totals["calls"]
     assert 0 < totals["left_in_flight"] <= totals["skipped"]
+
+
+def test_a_call_cancelled_while_its_connection_is_made_is_not_sent(
+    calls: list[CallRecord], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    proceed = threading.Event()
+
+    def held_connect(sock: socket.socket, address: tuple[str, int], deadline_ms: float) -> None:
+        assert proceed.wait(TIMEOUT_S)
+        connect(sock, address, deadline_ms)
+
+    monkeypatch.setattr("landingdeal.capture.replay.connect", held_connect)
+    planned = plan(calls, ReplayOptions(), SkippedCalls({}))[:2]
+    cancelled = replace(planned[0], transport="TCP", cancel_after_ms=50.0)
+    wanted = replace(planned[1], transport="TCP", invite=planned[0].invite, at_ms=planned[0].at_ms)
+    hub = StubUserAgent(StubBehaviour(ring_ms=1.0))
+    threading.Timer(0.4, proceed.set).start()
+    report = Replay([cancelled, wanted], ("127.0.0.1", hub.port), ReplayOptions()).run()
+    hub.end()
+    outcomes = [(result.outcome, result.status) for result in report.results]
+    assert outcomes == [(Outcome.CANCELLED, 0), (Outcome.ESTABLISHED, 200)] and len(hub.received.invites) == 1
