--- a/landingdeal/capture/player.py
+++ b/landingdeal/capture/player.py
@@ -241,7 +241,7 @@
         key = message.cseq
         known_transaction = self.server_transactions.get(key)
         if known_transaction is not None:
-            known_transaction.request_retransmitted()
+            known_transaction.retransmit_response()
             return
         if message.method == "ACK":
             return
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -183,7 +183,7 @@
             return
         existing = self.server_transactions.get(f"{key}|{message.method}")
         if existing is not None:
-            existing.request_retransmitted()
+            existing.retransmit_response()
             return
         if len(self.server_transactions) >= MAX_SERVER_TRANSACTIONS:
             flow.send(self._make_response(message, 503, ("retry-after", "2")))
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -151,12 +151,11 @@
         """Whether the transaction user has given the final response."""
         return self.state is not SipTransactionState.PROCEEDING
 
-    def request_retransmitted(self) -> None:
-        """Absorbs a retransmission of the request and sends the last response again."""
-        self.retransmit_response()
-
     def retransmit_response(self) -> None:
-        """Sends the last response again, unless it still waits to be sent on a connection that lives."""
+        """Sends the last response again, unless it still waits to be sent on a connection that lives.
+
+        Called for each retransmission of the request, and by the timers of the final response.
+        """
         if self.last_response is None or self.state not in (
             SipTransactionState.PROCEEDING,
             SipTransactionState.COMPLETED,
--- a/tests/test_pending_send.py
+++ b/tests/test_pending_send.py
@@ -11,6 +11,7 @@
 from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Message, request
 from landingdeal.sip.transport import MAX_QUEUED_MESSAGES, TcpFlow
+from tests.sockets import read_until
 
 ROUNDS = 300
 LARGE_BODY = bytes(4 * 1024 * 1024)  # more than the socket buffers take
@@ -53,14 +54,6 @@
     return Link(sock, lambda on, m: None, lambda on, r: None), peer_sock
 
 
-def read_until(peer_sock: socket.socket, end: bytes) -> bytes:
-    peer_sock.settimeout(5)
-    received = b""
-    while end not in received:
-        received += peer_sock.recv(1 << 20)
-    return received
-
-
 def test_a_message_withdrawn_behind_a_peer_that_does_not_read_is_not_written(
     connection: tuple[Link, socket.socket],
 ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -35,6 +35,7 @@
 from landingdeal.sip.message import Message, encode, request
 from landingdeal.threads import start_supervised_thread, start_thread
 from tests.scenario import ROOT, SETTINGS, PlatformHarness, play
+from tests.sockets import read_until
 
 SCENARIOS = {
     "a call is established, its hub releases it, the release reaches its caller": """
@@ -671,14 +672,6 @@
     ]
 
 
-def read_until(peer_sock: socket.socket, end: bytes) -> bytes:
-    peer_sock.settimeout(5)
-    received = b""
-    while end not in received:
-        received += peer_sock.recv(1 << 20)
-    return received
-
-
 def test_an_attempt_cancelled_while_its_connection_comes_up_is_not_sent_or_gets_its_cancel() -> None:
     """The cancellation comes just when the INVITE is queued: a lab hub gets neither, or both in order."""
     hubs, attempt = hub_without_connection(Inbox())
