SIP: a release waits for a peer that can't be reached, for the time of a transaction

Cause: a BYE whose connection could not be made was given up, and a peer that did not answer the check got none. Change: a BYE is sent again, with pauses from T1 to T2, until 64 T1 after the first; a peer that can't be reached gets one, unless it said 481. Measured: both new tests failed before (no BYE) and pass now.

--- a/landingdeal/sip/dialog_layer.py
+++ b/landingdeal/sip/dialog_layer.py
@@ -27,7 +27,7 @@
 )
 from landingdeal.sip.transport import Tap
 
-MAX_REQUEST_ATTEMPTS = 3  # of BYE and OPTIONS, if connections end before the response
+MAX_PEER_CHECKS = 3  # if connections end before the response to OPTIONS
 
 
 def content_type_headers(message: Message) -> list[tuple[str, str]]:
@@ -35,11 +35,6 @@
     return [("content-type", message.get("content-type", "application/sdp"))] if message.body else []
 
 
-def may_send_again(final_response: Message, flow: Flow, attempts_left: int) -> bool:
-    """Whether a request is sent again: its connection ended before the response, so the peer may be alive."""
-    return is_transport_failure(final_response) and flow.was_connected and attempts_left > 1
-
-
 class DialogLayer(TransactionLayer):
     """The calls and their dialogs. The front implements the methods that raise NotImplementedError."""
 
@@ -302,16 +297,20 @@
         if side.last_ack is None and not side.is_caller:
             self._send_ack(side, None)
         self._close_side(side)
-        self._start_bye(side.dialog, cause, MAX_REQUEST_ATTEMPTS)
+        self._start_bye(side.dialog, cause, self.now() + self.timing.transaction_timeout, self.timing.t1)
 
-    def _start_bye(self, dialog: Dialog, cause: int, attempts_left: int) -> None:
-        """Sends BYE, and again on a new connection if the connection ends before the response."""
+    def _start_bye(self, dialog: Dialog, cause: int, deadline_ms: float, retry_ms: float) -> None:
+        """Sends BYE, and again on a new connection while the transport fails, until the deadline."""
         flow = self._dialog_flow(dialog)
         bye = dialog.make_request("BYE", self._new_via(flow), reason_header(cause))
 
         def on_response(message: Message) -> None:
-            if may_send_again(message, flow, attempts_left):
-                self._start_bye(dialog, cause, attempts_left - 1)
+            if is_transport_failure(message) and self.now() < deadline_ms:
+                next_retry_ms = min(2 * retry_ms, self.timing.t2)
+                self.schedule_at(
+                    self.now() + retry_ms,
+                    lambda: self._start_bye(dialog, cause, deadline_ms, next_retry_ms),
+                )
 
         self._start_client_transaction(flow, bye, on_response)
 
@@ -399,7 +398,7 @@
         if side is not None and side.unacknowledged >= 0:  # the 2xx is not deliverable
             self._end_call(side.call, CAUSE_CALL_CUT, side)
 
-    def _check_peer(self, side: DialogSide, attempts_left: int = MAX_REQUEST_ATTEMPTS) -> None:
+    def _check_peer(self, side: DialogSide, attempts_left: int = MAX_PEER_CHECKS) -> None:
         """Sends OPTIONS within the dialog and ends the call if the peer is not reachable."""
         if side.peer_check is not None:
             return
@@ -411,13 +410,16 @@
             side.peer_check = None
             if side.dialog.terminated:
                 return
-            if may_send_again(message, flow, attempts_left):
+            # a connection that was made and ended says nothing of its peer
+            if is_transport_failure(message) and flow.was_connected and attempts_left > 1:
                 self._check_peer(side, attempts_left - 1)
                 return
             unreachable = message.status in (408, 481) or not message.get("via")
             if unreachable:
                 peer_name = "caller" if side.is_caller else "lab hub"
                 log_text(f"call {side.call.key}: the {peer_name} is unreachable, ending the call")
+                if message.status != 481:  # the dialog may still exist at the peer
+                    self._send_bye(side, CAUSE_CALL_CUT)
                 self._end_call(side.call, CAUSE_CALL_CUT, side)
 
         side.peer_check = self._start_client_transaction(
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -22,7 +22,7 @@
 )
 from landingdeal.net.link import dial
 from landingdeal.sip.message import Message
-from landingdeal.sip.transport import MAX_QUEUED_MESSAGES
+from landingdeal.sip.transport import DIAL_TIMEOUT_MS, MAX_QUEUED_MESSAGES
 from landingdeal.threads import start_thread
 from tests.scenario import TIMEOUT_S, play
 from tests.sip_front import InProcessFront
@@ -255,3 +255,22 @@
     received = front.parties["hub1"].received
     while (message := received.get(timeout=TIMEOUT_S)[1]) is None or not is_set_up_of(attempts[1], message):
         pass
+
+
+def test_a_release_outlives_a_dial_to_a_hub_that_is_cut_off(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    establish_and_reset_hub(front, held)
+    play(front, "caller send BYE a\n caller expect 200 a")
+    time.sleep(DIAL_TIMEOUT_MS / 1000 + 0.2)
+    held.release()
+    play(front, "hub1 expect BYE a\n hub1 send 200 a of=BYE\n hub1 wait 200")
+
+
+def test_a_hub_that_was_found_unreachable_is_released_when_it_can_be_reached(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    establish_and_reset_hub(front, held)
+    play(front, "caller expect BYE a\n caller send 200 a of=BYE")
+    held.release()
+    play(front, "hub1 expect BYE a Reason:Q.850;cause=41\n hub1 send 200 a of=BYE\n hub1 wait 200")
