SIP: the check of a peer waits for room on the new connection

An OPTIONS without room, or whose connection ended, is sent again with pauses from T1 to T2, until 64 T1 after the first.

--- a/landingdeal/sip/dialog_layer.py
+++ b/landingdeal/sip/dialog_layer.py
@@ -27,8 +27,6 @@
 )
 from landingdeal.sip.transport import Tap
 
-MAX_PEER_CHECKS = 3  # if connections end before the response to OPTIONS
-
 
 def content_type_headers(message: Message) -> list[tuple[str, str]]:
     """Returns the Content-Type header of a body that is forwarded unchanged; none without a body."""
@@ -398,22 +396,32 @@
         if side is not None and side.unacknowledged >= 0:  # the 2xx is not deliverable
             self._end_call(side.call, CAUSE_CALL_CUT, side)
 
-    def _check_peer(self, side: DialogSide, attempts_left: int = MAX_PEER_CHECKS) -> None:
+    def _check_peer(self, side: DialogSide) -> None:
         """Sends OPTIONS within the dialog and ends the call if the peer is not reachable."""
-        if side.peer_check is not None:
-            return
+        if side.peer_check is None:
+            deadline_ms = self.now() + self.timing.transaction_timeout
+            self._start_peer_check(side, deadline_ms, self.timing.t1)
+
+    def _start_peer_check(self, side: DialogSide, deadline_ms: float, retry_ms: float) -> None:
+        """Sends OPTIONS, and again until the deadline while a connection can be made but the transport fails.
+
+        A connection that ended, or that had no room for the request, says nothing of the peer.
+        """
         flow = self._dialog_flow(side.dialog)
 
         def on_response(message: Message) -> None:
             if message.status < 200:
                 return
-            side.peer_check = None
             if side.dialog.terminated:
                 return
-            # a connection that was made and ended says nothing of its peer
-            if is_transport_failure(message) and flow.was_connected and attempts_left > 1:
-                self._check_peer(side, attempts_left - 1)
+            could_connect = flow.was_connected or flow.alive
+            if is_transport_failure(message) and could_connect and self.now() < deadline_ms:
+                next_retry_ms = min(2 * retry_ms, self.timing.t2)
+                self.schedule_at(
+                    self.now() + retry_ms, lambda: self._retry_peer_check(side, deadline_ms, next_retry_ms)
+                )
                 return
+            side.peer_check = None
             unreachable = message.status in (408, 481) or not message.get("via")
             if unreachable:
                 peer_name = "caller" if side.is_caller else "lab hub"
@@ -425,3 +433,7 @@
         side.peer_check = self._start_client_transaction(
             flow, side.dialog.make_request("OPTIONS", self._new_via(flow)), on_response
         )
+
+    def _retry_peer_check(self, side: DialogSide, deadline_ms: float, retry_ms: float) -> None:
+        if not side.dialog.terminated:
+            self._start_peer_check(side, deadline_ms, retry_ms)
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -131,14 +131,18 @@
     return message.method == "INVITE" and message.call_id == f"{attempt.offer.call_id}-{attempt.number}"
 
 
-def establish_and_reset_hub(front: InProcessFront, held: HeldConnections) -> None:
-    """Establishes a call, then resets the hub's connection; a new one is held back."""
-    attempt = offer_call(front)
-    held.release()
+def establish(front: InProcessFront, name: str) -> None:
+    """Establishes a call at the hub."""
+    attempt = offer_call(front, name)
     front.front.set_up(attempt)
-    play(front, "hub1 expect INVITE a\n hub1 send 200 a\n hub1 expect ACK a")
+    play(front, f"hub1 expect INVITE {name}\n hub1 send 200 {name}\n hub1 expect ACK {name}")
     attempt.offer.caller.answer(front.next_event(AttemptEstablished).description)
-    play(front, "caller expect 200 a\n caller send ACK a\n caller send OPTIONS b\n caller expect 200 b")
+    play(front, f"caller expect 200 {name}\n caller send ACK {name}")
+    play(front, f"caller send OPTIONS o{name}\n caller expect 200 o{name}")
+
+
+def hold_back_after_reset(front: InProcessFront, held: HeldConnections) -> None:
+    """Resets the hub's connection; a new one is held back."""
     held.proceed.clear()
     play(front, "hub1 reset")
     while any(flow.port == front.parties["hub1"].port for flow in front.front.transport_layer.flows.values()):
@@ -146,6 +150,13 @@
     front.handle_posted_work()
 
 
+def establish_and_reset_hub(front: InProcessFront, held: HeldConnections) -> None:
+    """Establishes call `a`, then resets the hub's connection; a new one is held back."""
+    held.release()
+    establish(front, "a")
+    hold_back_after_reset(front, held)
+
+
 def test_a_reinvite_that_waits_for_its_connection_is_withdrawn_by_its_cancel(
     front: InProcessFront, held: HeldConnections
 ) -> None:
@@ -274,3 +285,20 @@
     play(front, "caller expect BYE a\n caller send 200 a of=BYE")
     held.release()
     play(front, "hub1 expect BYE a Reason:Q.850;cause=41\n hub1 send 200 a of=BYE\n hub1 wait 200")
+
+
+def test_the_check_of_a_peer_without_room_in_the_queue_of_its_connection_is_sent_later(
+    front: InProcessFront, held: HeldConnections
+) -> None:
+    """A hub whose connection is reset has more calls than the new connection has room for."""
+    held.release()
+    names = [f"c{number}" for number in range(MAX_QUEUED_MESSAGES + 6)]
+    for name in names:
+        establish(front, name)
+    hold_back_after_reset(front, held)
+    held.release()
+    checked: set[str] = set()
+    while len(checked) < len(names):
+        message = front.parties["hub1"].received.get(timeout=TIMEOUT_S)[1]
+        assert message is None or message.method == "OPTIONS", message
+        checked |= {message.call_id} if message is not None else set()
