--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -131,14 +131,20 @@
         extra: str = "",
         hubs: Mapping[str, ScenarioParty] | None = None,
         port: int = 0,
+        stderr: int | None = None,
     ) -> None:
+        """Starts the program; its log goes to a file, or to the descriptor `stderr`."""
         self.transport, self.port = transport, port or free_port()
         self.parties = dict(hubs or {name: ScenarioParty(name, transport) for name in ("hub1", "hub2")})
         path = folder / "operator.toml"
         path.write_text(operator_file(self.port, self.parties, extra))
-        self.program = subprocess.Popen(
-            [sys.executable, "-m", "landingdeal", "--operator", str(path)], cwd=ROOT, stderr=subprocess.PIPE
-        )
+        self.log_path = folder / "log"
+        with self.log_path.open("wb") as log:
+            self.program = subprocess.Popen(
+                [sys.executable, "-m", "landingdeal", "--operator", str(path)],
+                cwd=ROOT,
+                stderr=log if stderr is None else stderr,
+            )
         deadline = time.monotonic() + TIMEOUT_S
         while time.monotonic() < deadline:
             with suppress(OSError), socket.create_connection(("127.0.0.1", self.port)):
@@ -308,5 +314,5 @@
             party.sock.close()
         if self.program.poll() is None:
             self.program.kill()
-        _, log = self.program.communicate()
-        return log.decode()
+        self.program.wait()
+        return self.log_path.read_text()
--- a/tests/test_sip.py
+++ b/tests/test_sip.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -457,6 +459,22 @@
     play_on_program(environment, scenario)
 
 
+def test_a_program_whose_log_nobody_reads_serves_its_callers(tmp_path: Path) -> None:
+    """A full pipe at standard error must not stall the front."""
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    with suppress(BlockingIOError):
+        while True:
+            os.write(write_end, bytes(4096))
+    os.set_blocking(write_end, True)
+    environment = SipHarness(tmp_path, "tcp", stderr=write_end)
+    try:
+        play_on_program(environment, ESTABLISHED_CALL)
+    finally:
+        os.close(read_end)
+        os.close(write_end)
+
+
 def play_on_program(environment: SipHarness, scenario: str) -> None:
     """Plays a scenario, ends the program and checks that no exception is in its log."""
     try:
