Log: the hub and connection of each release, and how each hub connection ended

Change: events hub_released, hub_connected, hub_connection_silent, hub_connection_ended and call_cut, each with hub and connection; they take the place of three lines of free text, so that a flood of one kind hides no other. No decision changed.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -497,6 +497,7 @@
             log_text(f"{hub!r} failed: {len(cut_call_ids)} established calls there are released")
         for call_id in cut_call_ids:
             if call_id in self.established:
+                log_event("call_cut", call=call_id, hub=hub, before_ms=before_ms)
                 self._handle_hub_release(HubReleased(call_id, hub, CAUSE_CALL_CUT))
 
     def _update_guard(self, hub: bytes, load_values: tuple[float, ...]) -> None:
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -329,7 +329,7 @@
             raise
         if failed_before_ms:  # so long after the reset it is a new process
             self.inbox.put(HubFailed(hub.name, failed_before_ms))
-        log_text(f"connected to {hub.name!r}")
+        log_event("hub_connected", hub=hub.name, link=link.number)
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
@@ -349,7 +349,8 @@
         end_description = (
             "reset" if reset else f"closed: {link.close_reason}" if link.close_reason else "closed"
         )
-        log_text(f"connection to {hub.name!r} ended ({end_description}, {len(interrupted)} set-ups pending)")
+        log_event("hub_connection_ended", hub=hub.name, link=link.number, how=end_description,
+                  pending=len(interrupted), replaced=was_replaced)  # fmt: skip
         for attempt in interrupted:
             # CANCELLED, not UNREACHABLE: the end of a connection is no proof that the lab hub has failed (one
             # that has refuses the next connect), and UNREACHABLE would limit a healthy lab hub to one call at
@@ -363,7 +364,7 @@
 
         The connections of a machine that vanished or was cut off stay open and silent.
         """
-        log_text(f"connection to {hub.name!r} is silent; dialling a new one")
+        log_event("hub_connection_silent", hub=hub.name, link=hub.link.number if hub.link else 0)
         hub.link = None
         hub.changed.notify()
 
@@ -490,8 +491,10 @@
         match message.method:
             case "BYE":
                 link.send(response(message, 200))
+                cause = release_cause(message)
+                log_event("hub_released", call=message.call_id, hub=hub.name, cause=cause, link=link.number)
                 hub_load = load_values(message, self.settings)
-                self.inbox.put(HubReleased(message.call_id, hub.name, release_cause(message), hub_load))
+                self.inbox.put(HubReleased(message.call_id, hub.name, cause, hub_load))
             case "NOTIFY":
                 self.inbox.put(LoadReported(hub.name, load_values(message, self.settings)))
             case "OPTIONS":
