Platform: releases that a lost hub connection carried are recovered on further ones

Ruled out: the hub (it wrote it), the core (it never got it), the caller's connection (it got the calls before and after). Cause: nothing knew which calls a lost connection leaves in doubt. Change: HubCalls keeps the calls of a hub by the connection of their set-up, and which connections are unsettled. While calls are in doubt further connections are opened, 1, 2 and then every 4 s; on each the hub repeats what it has released since the one before. No call is released unasked. A connection that this side gives up is closed for sending only and read until the hub closes it. Silence is judged by connection, not by hub. The checks of a hub are a module without I/O.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -395,8 +395,9 @@
                 self.hubs.release(attempt.hub, call_id)
             return
         if len(self.established) >= MAX_ESTABLISHED_CALLS:
-            oldest_id = next(iter(self.established))
+            oldest_id, oldest_call = next(iter(self.established.items()))
             del self.established[oldest_id]
+            self.hubs.forget(oldest_call.attempt.hub, oldest_id)
             self.contracts.call_ended(oldest_id)
         self.established[call_id] = EstablishedCall(call, attempt, event.description, self.now)
         call.answer(event.description)
@@ -465,6 +466,7 @@
             return  # late, of a cancelled attempt: the call is established at another hub
         del self.established[event.call_id]
         self.contracts.call_ended(event.call_id)
+        self.hubs.forget(event.hub, event.call_id)
         established_call.offer.caller.release(event.cause)
         outcome = AttemptOutcome.CUT if event.cause == CAUSE_CALL_CUT else AttemptOutcome.ENDED
         self._notify_module(self._call_ended_event(established_call, outcome, event.load_values))
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -67,6 +67,10 @@
         """Releases a call at a lab hub."""
         ...
 
+    def forget(self, hub: bytes, call_id: str) -> None:
+        """An established call is over at the core, or no longer tracked; nothing is sent to its lab hub."""
+        ...
+
     def probe(self, hub: bytes, deadline_ms: float) -> None:
         """Asks a lab hub for its load; a `ProbeCompleted` event reports the result."""
         ...
--- /dev/null
+++ b/landingdeal/net/hub.py
@@ -0,0 +1,63 @@
+"""The state of one lab hub on the platform's front: its address, its connections and what waits for them."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+from landingdeal.clock import now_ms
+from landingdeal.core.events import Attempt
+from landingdeal.net.hub_calls import HubCalls
+from landingdeal.net.link import HubLink
+
+
+@dataclass(frozen=True, slots=True)
+class PendingProbe:
+    """An OPTIONS sent to a lab hub whose answer has not come yet."""
+
+    sent_ms: float
+    deadline_ms: float
+
+
+class Hub:
+    """One lab hub: its address, its connections, the set-ups pending on each and those queued for one.
+
+    `changed` protects all of it.
+    """
+
+    def __init__(self, name: bytes, host: str, port: int) -> None:
+        self.name, self.host, self.port = name, host, port
+        self.link: HubLink | None = None  # set-ups are sent on it
+        self.pending: dict[HubLink, dict[str, Attempt]] = {}  # of each connection that has not ended
+        self.queued: list[Attempt] = []
+        self.calls = HubCalls()
+        self.queued_releases: list[str] = []  # sent once there is a connection
+        self.pending_probes: dict[str, PendingProbe] = {}
+        self.removed = self.draining = False
+        self.keeper_running = False  # its thread keeps it connected
+        self.recovering = False  # a further connection is being opened
+        self.last_received_ms = self.connected_ms = now_ms()
+        # connects refused in a row; the time of a reset that may mean that its process has ended
+        self.refused_connects, self.suspect_reset_ms = 0, 0.0
+        self.last_reset_ms = 0.0
+        self.last_suspected_ms = 0.0  # when its connection was last replaced for silence
+        self.declared_failed = False  # its calls have been released because of its silence
+        self.changed = threading.Condition()
+
+    def take_queued(self) -> list[Attempt]:
+        """Empties the queue of set-ups and returns it. The caller holds the lock."""
+        queued, self.queued = self.queued, []
+        return queued
+
+    def take_unwritten(self) -> list[Attempt]:
+        """Withdraws the set-ups that wait behind a lab hub that does not read. The caller holds the lock."""
+        unwritten = []
+        for link, attempts in self.pending.items():
+            for call in list(attempts):
+                if link.withdraw(call):
+                    unwritten.append(attempts.pop(call))
+        return unwritten
+
+    def has_call(self, call_id: str) -> bool:
+        """Whether the call is established or pending at this lab hub. The caller holds the lock."""
+        return self.calls.stands(call_id) or any(call_id in calls for calls in self.pending.values())
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
-from dataclasses import dataclass
 
 from badgerstile.interface import AttemptOutcome, Settings
 from landingdeal.clock import now_ms, seconds_until
@@ -19,23 +19,21 @@
     ProbeCompleted,
 )
 from landingdeal.log import log_event, log_text
-from landingdeal.net.link import HubLink, Link, dial
+from landingdeal.net.hub import Hub, PendingProbe
+from landingdeal.net.hub_check import check_hub
+from landingdeal.net.link import HubLink, dial
 from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.headers import load_values, reason_header, rejection_reason, release_cause
 from landingdeal.sip.message import FramingError, MalformedMessage, Message, request, response
-from landingdeal.threads import start_supervised_thread
+from landingdeal.threads import start_supervised_thread, start_thread
 
-SUSPECT_SILENCE_MS = 2500.0  # after so long without a message from a lab hub, it is dialled again
-# of the shortest class target: it is also dialled again if a set-up gets no message back for so long
+# of the shortest class target: a lab hub is dialled again if a set-up gets no message back for so long
 UNRESPONSIVE_SLO_SHARE = 0.25
-MIN_UNRESPONSIVE_MS, MAX_UNRESPONSIVE_MS = 100.0, 2500.0
-REPLACE_INTERVAL_MS = 1000.0  # at least, between replacements for unanswered set-ups
-FAILED_SILENCE_MS = 7000.0  # then its calls are released: callers must be notified within 8 s of their end
+MIN_UNRESPONSIVE_MS = 100.0
 CHECK_INTERVAL_MS = 100.0
 REDIAL_INTERVAL_MS = 250.0  # after a failed connect
-MAX_CANCELLED_CALLS = 256  # per connection: cancelled set-ups whose answer may cross the CANCEL
+MAX_QUEUED_RELEASES = 2000  # for each lab hub
 MAX_HUBS = 512  # including those removed less than 7 s ago
-PROBE_REPLY_TIMEOUT_MS = 250.0  # for a replaced connection to show life while the new one gets answers
 MAX_RECONNECT_MS = 700.0  # a lab hub that accepts again so soon after a reset was not restarted
 # 504: the set-up was interrupted on its way and may have been carried out. A live lab hub sends
 # it, so that it is no sign of a failure
@@ -52,36 +50,6 @@
     return body.endswith(b"\r\n") and all(32 <= char < 127 or char in b"\t\r\n" for char in body)
 
 
-@dataclass(frozen=True, slots=True)
-class PendingProbe:
-    """An OPTIONS sent to a lab hub whose answer has not come yet."""
-
-    sent_ms: float
-    deadline_ms: float
-
-
-class Hub:
-    """One lab hub: its address, its connections, the set-ups pending on each and those queued for one."""
-
-    def __init__(self, name: bytes, host: str, port: int) -> None:
-        self.name, self.host, self.port = name, host, port
-        self.link: HubLink | None = None
-        self.pending: dict[HubLink, dict[str, Attempt]] = {}
-        self.queued: list[Attempt] = []
-        self.queued_releases: list[str] = []  # sent once there is a connection
-        self.pending_probes: dict[str, PendingProbe] = {}
-        self.removed = self.keeper_running = self.draining = (
-            False  # keeper_running: its thread keeps it connected
-        )
-        self.last_received_ms = self.connected_ms = now_ms()
-        # connects refused in a row; the time of a reset that may mean that its process has ended
-        self.refused_connects, self.suspect_reset_ms = 0, 0.0
-        self.last_reset_ms = 0.0
-        self.last_suspected_ms = 0.0  # when its connection was last replaced for silence
-        self.declared_failed = False  # its calls have been released because of its silence
-        self.changed = threading.Condition()
-
-
 class HubConnections:
     """The connections to all lab hubs. Implements `HubClient` for the core."""
 
@@ -123,7 +91,7 @@
                 hub.keeper_running or not removed,
             )
             hub.draining = draining or removed
-            undeliverable = self._take_queued(hub) + self._take_unwritten(hub) if hub.draining else []
+            undeliverable = hub.take_queued() + hub.take_unwritten() if hub.draining else []
             hub.changed.notify()
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
@@ -132,22 +100,6 @@
         if start_keeper:
             start_supervised_thread("keeper", lambda: self._keep_connected(hub))
 
-    @staticmethod
-    def _take_queued(hub: Hub) -> list[Attempt]:
-        """Empties the queue of set-ups and returns it. The caller holds the hub's lock."""
-        undeliverable, hub.queued = hub.queued, []
-        return undeliverable
-
-    @staticmethod
-    def _take_unwritten(hub: Hub) -> list[Attempt]:
-        """Withdraws the set-ups that wait behind a lab hub that does not read. The caller holds its lock."""
-        unwritten = []
-        for link, attempts in hub.pending.items():
-            for call in list(attempts):
-                if link.withdraw(call):
-                    unwritten.append(attempts.pop(call))
-        return unwritten
-
     def _remove_replaced(self, replaced_hub: Hub) -> None:
         """Removes a lab hub whose address a new one has, so that it is not connected to the new one."""
         with replaced_hub.changed:
@@ -170,77 +122,42 @@
         start_supervised_thread("watch", check_repeatedly)
 
     def check_hubs(self, now: float) -> None:
-        """Replaces silent connections and declares silent lab hubs failed.
-
-        A machine that vanished or was cut off leaves its connections open and can send no release, but the
-        callers must be notified of the end of their calls within 8 s.
-        """
+        """Replaces silent connections, declares silent lab hubs failed and recovers lost releases."""
         with self.lock:
             hubs = list(self.hubs.values())
         for hub in hubs:
-            failed, removable, unverified = False, False, []
-            with hub.changed:
-                expired = [
-                    key
-                    for key, pending_probe in hub.pending_probes.items()
-                    if now > pending_probe.deadline_ms
-                ]
-                expired_probes = [hub.pending_probes.pop(key) for key in expired]
-                silent_ms = now - hub.last_received_ms
-                if hub.link is not None and (
-                    silent_ms > SUSPECT_SILENCE_MS or self._is_unresponsive(hub, hub.link, now)
-                ):
-                    hub.last_suspected_ms = now
-                    self._replace_connection(hub)
-                if silent_ms > FAILED_SILENCE_MS and not hub.declared_failed:
-                    failed = hub.declared_failed = True
-                replaced_links = [link for link in hub.pending if link is not hub.link]
-                surplus = [
-                    link
-                    for link in replaced_links
-                    if not hub.pending[link] and link.last_received_ms > link.probed_ms > 0
-                ]
-                if hub.link is not None:
-                    unverified = [link for link in replaced_links if not link.probed_ms]
-                for link in unverified:
-                    link.probed_ms, link.replaced_ms = now, hub.connected_ms
-                # set-ups pending there end with the connection and are sent again
-                surplus += [link for link in replaced_links if self._is_abandoned(hub, link, now)]
-                if hub.removed and hub.declared_failed:
-                    surplus, removable = list(hub.pending), not hub.keeper_running and not hub.pending
-            for pending_probe in expired_probes:
-                self.inbox.put(
-                    ProbeCompleted(hub.name, False, pending_probe.deadline_ms - pending_probe.sent_ms)
-                )
-            for link in unverified:
-                # a process that was restarted since then answers with a reset
-                link.send(self._options_request(f"{0:016x}"))
-            for link in surplus:
-                link.close_with_reason("replaced, or its lab hub is removed and silent")
-            if failed:
-                log_text(f"no message from {hub.name!r} for {silent_ms / 1000:.1f} s: its calls are released")
-                self.inbox.put(HubFailed(hub.name, now))
-            if removable:  # bounds memory and threads where lab hubs are often replaced by new ones
-                with self.lock:
-                    self.hubs.pop(hub.name, None)
-
-    def _is_unresponsive(self, hub: Hub, link: HubLink, now: float) -> bool:
-        """Whether set-ups on it get no message back: its lab hub may still answer on another connection."""
-        return (
-            link.unresponsive_for_ms(now) > self.unresponsive_ms
-            and now - hub.last_suspected_ms > REPLACE_INTERVAL_MS
-        )
+            self._check_hub(hub, now)
 
-    @staticmethod
-    def _is_abandoned(hub: Hub, link: HubLink, now: float) -> bool:
-        """Whether to close a replaced connection: the new one gets answers, or too long has passed."""
-        sent_ms = link.probed_ms
-        newer_answers = hub.link is not None and hub.link.last_answer_ms > sent_ms
-        return (
-            sent_ms > 0
-            and link.last_received_ms < sent_ms
-            and now - sent_ms > (PROBE_REPLY_TIMEOUT_MS if newer_answers else MAX_UNRESPONSIVE_MS)
-        )
+    def _check_hub(self, hub: Hub, now: float) -> None:
+        with hub.changed:
+            check = check_hub(hub, now, self.unresponsive_ms)
+            if check.replace:
+                hub.last_suspected_ms = now
+                self._replace_connection(hub, now)
+            hub.recovering = hub.recovering or check.recovery_due
+            removable = hub.removed and hub.declared_failed and not hub.keeper_running and not hub.pending
+        for pending_probe in check.expired_probes:
+            latency_ms = pending_probe.deadline_ms - pending_probe.sent_ms
+            self.inbox.put(ProbeCompleted(hub.name, False, latency_ms))
+        for link in check.unverified:
+            # a process that was restarted since then answers with a reset
+            link.send(self._options_request(f"{0:016x}"))
+        for link in check.finished:
+            link.finish("replaced")
+        for link in check.abandoned:
+            with hub.changed:
+                hub.calls.connection_silent(link.number, now)
+            self._abandon(hub, link, "replaced and silent")
+        for link in check.overdue:
+            link.close_with_reason("not closed by its lab hub, which is removed and silent, or in time")
+        if check.recovery_due:
+            self._start_recovery(hub)
+        if check.failed:
+            log_event("hub_failed", hub=hub.name, silent_ms=check.silent_ms)
+            self.inbox.put(HubFailed(hub.name, now))
+        if removable:  # bounds memory and threads where lab hubs are often replaced by new ones
+            with self.lock:
+                self.hubs.pop(hub.name, None)
 
     def _note_received(self, hub: Hub) -> None:
         hub.last_received_ms, hub.declared_failed = now_ms(), False
@@ -260,7 +177,7 @@
                     hub.changed.wait()
                 if hub.removed:
                     hub.link, hub.keeper_running = None, False
-                    queued = self._take_queued(hub)
+                    queued = hub.take_queued()
                     failed_before_ms, hub.suspect_reset_ms = hub.suspect_reset_ms, 0.0
                     break
             until = now_ms() + self.dial_timeout_ms
@@ -294,22 +211,25 @@
                     if not hub.removed and not hub.queued:
                         hub.changed.wait(seconds_until(now_ms() + REDIAL_INTERVAL_MS))
                 continue
-            link = HubLink(
-                sock,
-                lambda on, m: self._on_message(hub, on, m),
-                lambda on, r: self._on_connection_ended(hub, on, r),
-            )
-            self._on_connected(hub, link)
+            self._on_connected(hub, self._new_link(hub, sock))
         if failed_before_ms:
             self.inbox.put(HubFailed(hub.name, failed_before_ms))
         for attempt in queued:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
+    def _new_link(self, hub: Hub, sock: socket.socket) -> HubLink:
+        return HubLink(
+            sock,
+            lambda on, message: self._on_message(hub, on, message),
+            lambda on, reset: self._on_connection_ended(hub, on, reset),
+        )
+
     def _on_connected(self, hub: Hub, link: HubLink) -> None:
         """Sends what is queued, under one lock: a cancellation finds each attempt either queued or sent."""
         with hub.changed:
             hub.link = link
             hub.pending[link] = {}
+            hub.calls.connection_opened(link.number, link.opened_ms)
             hub.connected_ms = now_ms()
             failed_before_ms = (
                 hub.suspect_reset_ms if hub.connected_ms - hub.suspect_reset_ms > MAX_RECONNECT_MS else 0.0
@@ -319,7 +239,7 @@
             queued_releases, hub.queued_releases = hub.queued_releases, []
             for call in queued_releases:
                 link.send(self._bye_request(call))
-            queued = self._take_queued(hub)
+            queued = hub.take_queued()
             undeliverable = [attempt for attempt in queued if not self._send_set_up(hub, link, attempt)]
         try:
             link.start()
@@ -333,10 +253,65 @@
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
+    def _start_recovery(self, hub: Hub) -> None:
+        """Opens a further connection in a thread of its own: the lab hub repeats its releases on it."""
+        try:
+            start_thread("recovery", lambda: self._open_recovery_connection(hub))
+        except RuntimeError:  # the system has no thread left
+            self._recovery_failed(hub)
+
+    def _open_recovery_connection(self, hub: Hub) -> None:
+        dialled_ms = now_ms()
+        try:
+            sock = dial(hub.host, hub.port, dialled_ms + self.dial_timeout_ms)
+        except OSError as error:
+            log_event("hub_recovery_failed", hub=hub.name, error=error)
+            self._recovery_failed(hub)
+            return
+        link = self._new_link(hub, sock)
+        link.for_recovery, link.probed_ms = True, now_ms()  # its first message shows that it is alive
+        with hub.changed:
+            hub.recovering = False
+            hub.pending[link] = {}
+            in_doubt = hub.calls.in_doubt()
+            hub.calls.connection_opened(link.number, dialled_ms)
+        log_event("hub_recovery", hub=hub.name, link=link.number, calls=len(in_doubt))
+        try:
+            link.start()
+        except RuntimeError:  # the system has no thread left
+            link.close()
+            self._on_connection_ended(hub, link, reset=False)
+
+    @staticmethod
+    def _recovery_failed(hub: Hub) -> None:
+        with hub.changed:
+            hub.recovering = False
+            hub.calls.recovery_failed(now_ms())
+
+    def _abandon(self, hub: Hub, link: HubLink, reason: str) -> None:
+        """Gives up a connection: its set-ups have failed, what its lab hub still writes there is read.
+
+        Its end shows whether the lab hub may hold calls of these set-ups.
+        """
+        with hub.changed:
+            interrupted = list(hub.pending.get(link, {}).values())
+            if link in hub.pending:
+                hub.pending[link] = {}
+            for attempt in interrupted:
+                if not link.withdraw(attempt.offer.call_id):
+                    link.note_cancelled(attempt.offer.call_id)
+            if hub.link is link:
+                hub.link = None
+                hub.changed.notify()
+        log_event("hub_connection_given_up", hub=hub.name, link=link.number, why=reason,
+                  pending=len(interrupted))  # fmt: skip
+        link.finish(reason)
+        self._report_interrupted(interrupted)
+
     def _on_connection_ended(self, hub: Hub, link: HubLink, reset: bool) -> None:
         with hub.changed:
-            interrupted = list(hub.pending.pop(link, {}).values())
             failed_before_ms = now_ms()
+            interrupted = self._forget_connection(hub, link, failed_before_ms)
             was_replaced = hub.link is not link
             if not was_replaced:
                 hub.link = None
@@ -350,21 +325,34 @@
             "reset" if reset else f"closed: {link.close_reason}" if link.close_reason else "closed"
         )
         log_event("hub_connection_ended", hub=hub.name, link=link.number, how=end_description,
-                  pending=len(interrupted), replaced=was_replaced)  # fmt: skip
+                  by_hub=link.closed_by_peer, pending=len(interrupted), replaced=was_replaced)  # fmt: skip
+        self._report_interrupted(interrupted)
+        if reset and was_replaced and not link.for_recovery:
+            # it was silent, then reset: the process there now does not know it
+            self.inbox.put(HubFailed(hub.name, failed_before_ms))
+
+    @staticmethod
+    def _forget_connection(hub: Hub, link: HubLink, now: float) -> list[Attempt]:
+        """Removes an ended connection; returns its pending set-ups. The caller holds the lock."""
+        pending = hub.pending.pop(link, {})
+        hub.calls.connection_ended(link.number, now, link.closed_by_peer)
+        return list(pending.values())
+
+    def _report_interrupted(self, interrupted: list[Attempt]) -> None:
         for attempt in interrupted:
             # CANCELLED, not UNREACHABLE: the end of a connection is no proof that the lab hub has failed (one
             # that has refuses the next connect), and UNREACHABLE would limit a healthy lab hub to one call at
             # a time and then ramp it up as if newly started
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.CANCELLED))
-        if reset and was_replaced:  # it was silent, then reset: the process there now does not know it
-            self.inbox.put(HubFailed(hub.name, failed_before_ms))
 
-    def _replace_connection(self, hub: Hub) -> None:
+    def _replace_connection(self, hub: Hub, now: float) -> None:
         """Dials a new connection in place of a silent one; set-ups are queued until it is up.
 
         The connections of a machine that vanished or was cut off stay open and silent.
         """
-        log_event("hub_connection_silent", hub=hub.name, link=hub.link.number if hub.link else 0)
+        if hub.link is not None:
+            log_event("hub_connection_silent", hub=hub.name, link=hub.link.number)
+            hub.calls.connection_silent(hub.link.number, now)
         hub.link = None
         hub.changed.notify()
 
@@ -426,9 +414,7 @@
             if link is not None:
                 del hub.pending[link][attempt.offer.call_id]
             if link is not None and written:
-                link.cancelled_calls[attempt.offer.call_id] = None
-                if len(link.cancelled_calls) > MAX_CANCELLED_CALLS:
-                    link.cancelled_calls.pop(next(iter(link.cancelled_calls)))
+                link.note_cancelled(attempt.offer.call_id)
             unresponsive = (
                 link is not None and link is not hub.link and link.last_received_ms < attempt.sent_ms
             )
@@ -436,7 +422,7 @@
             # a caller may cancel at once, which is no sign of a silent connection
             waited = now_ms() - attempt.sent_ms > self.dial_timeout_ms
             if hub.link is not None and waited and hub.link.last_received_ms < attempt.sent_ms:
-                self._replace_connection(hub)
+                self._replace_connection(hub, now_ms())
             if link is not None and written:
                 call, uri = attempt.offer.call_id, attempt.offer.uri
                 link.send(request("CANCEL", uri, self.via, ("call-id", call), ("cseq", "1 CANCEL")))
@@ -454,13 +440,21 @@
         if hub is None:
             return
         with hub.changed:
+            hub.calls.call_ended(call)
             link = hub.link
             if link is None or not link.alive:
-                if len(hub.queued_releases) < 2000:
+                if len(hub.queued_releases) < MAX_QUEUED_RELEASES:
                     hub.queued_releases.append(call)
                 return
         link.send(self._bye_request(call))
 
+    def forget(self, name: bytes, call: str) -> None:
+        hub = self._find_hub(name)
+        if hub is None:
+            return
+        with hub.changed:
+            hub.calls.call_ended(call)
+
     def probe(self, name: bytes, deadline_ms: float) -> None:
         hub = self._find_hub(name)
         if hub is None:
@@ -493,6 +487,8 @@
                 link.send(response(message, 200))
                 cause = release_cause(message)
                 log_event("hub_released", call=message.call_id, hub=hub.name, cause=cause, link=link.number)
+                with hub.changed:
+                    hub.calls.call_ended(message.call_id)
                 hub_load = load_values(message, self.settings)
                 self.inbox.put(HubReleased(message.call_id, hub.name, cause, hub_load))
             case "NOTIFY":
@@ -504,35 +500,41 @@
 
     def _on_final_answer(self, hub: Hub, link: HubLink, message: Message) -> None:
         call = message.call_id
+        established = message.status < 300
         link.last_answer_ms = now_ms()
         with hub.changed:
             pending_calls = hub.pending.get(link, {})
             if call not in pending_calls and call not in link.cancelled_calls:
                 log_event("answer_ignored", call=call, hub=hub.name, status=message.status)
                 return  # a repeated answer or an unknown id: no call is affected
-            if message.status < 300 and not is_whole_description(message.body):
+            if established and not is_whole_description(message.body):
                 # its set-up stays pending and ends with the connection
                 raise FramingError(f"{hub.name!r} sent an answer without a valid description")
             attempt = pending_calls.pop(call, None)
             link.cancelled_calls.pop(call, None)
             link.pending_sends.pop(call, None)
-        link.send(request("ACK", attempt.offer.uri if attempt else "sip:hub@net", self.via, ("call-id", call),
-                          ("cseq", f"{message.cseq[0]} ACK")))  # fmt: skip
+            if established and attempt is not None:
+                hub.calls.call_established(call, link.number)
+        self._acknowledge(link, message, attempt.offer.uri if attempt else "sip:hub@net")
         if attempt is None:
-            if message.status < 300:
+            if established:
                 self._release_unwanted(hub, link, call)
             return
-        if message.status < 300:
+        if established:
             self.inbox.put(AttemptEstablished(attempt, message.body))
             return
         ending = OUTCOME_BY_STATUS.get(message.status, AttemptOutcome.ERROR)
         reason = rejection_reason(message)
         self.inbox.put(AttemptFailed(attempt, ending, reason, load_values(message, self.settings)))
 
-    def _release_unwanted(self, hub: Hub, link: Link, call: str) -> None:
+    def _acknowledge(self, link: HubLink, answer: Message, uri: str) -> None:
+        cseq = ("cseq", f"{answer.cseq[0]} ACK")
+        link.send(request("ACK", uri, self.via, ("call-id", answer.call_id), cseq))
+
+    def _release_unwanted(self, hub: Hub, link: HubLink, call: str) -> None:
         """Releases a call whose answer crossed our CANCEL, unless it was sent to this lab hub again."""
         with hub.changed:
-            sent_again = any(call in calls for calls in hub.pending.values())
+            sent_again = hub.has_call(call)
         if not sent_again and not link.send(self._bye_request(call)):
             self.release(hub.name, call)
 
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -27,6 +27,7 @@
 NO_DEADLINE = float("inf")
 TCP_CLOSED = 7  # TCP state after a reset; after an orderly close by the peer it is CLOSE_WAIT, 8
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of an oversized message that is refused, then read and dropped
+MAX_CANCELLED_CALLS = 256  # per connection: cancelled set-ups whose answer may cross the CANCEL
 MAX_QUEUED_MESSAGES = 512  # per connection; a peer that leaves so many messages unread is disconnected
 _TCPI_BYTES_RECEIVED = struct.Struct("128xQ")  # field tcpi_bytes_received of struct tcp_info
 _TIMEVAL = struct.Struct("ll")  # struct timeval: seconds and microseconds
@@ -74,6 +75,10 @@
     still_wanted: Callable[[], bool] | None  # None: the message is always sent
 
 
+class EndOfSending:
+    """In the send queue of a connection: what was queued before is sent, then this side is closed."""
+
+
 class Link:
     """One TCP connection with a peer. No method waits for the peer.
 
@@ -92,9 +97,11 @@
     ) -> None:
         self.sock = sock
         self.on_message, self.on_end = on_message, on_end
-        self.send_queue: queue.Queue[Outgoing | None] = queue.Queue(MAX_QUEUED_MESSAGES)
+        self.send_queue: queue.Queue[Outgoing | EndOfSending | None] = queue.Queue(MAX_QUEUED_MESSAGES)
         self.last_received_ms = self.opened_ms = now_ms()
         self.alive, self.writer_failed = True, False
+        self.finishing_ms = 0.0  # when this side closed it for sending; 0 if it has not
+        self.closed_by_peer = False  # all that the peer wrote was read, up to its close
         self.number = next(_link_numbers)  # identifies the connection in the log
         self.close_reason = ""  # why this side closed it; empty if the peer did
         self.handled_bytes = 0  # bytes received whose messages have been handled
@@ -113,7 +120,7 @@
 
         The writer calls `still_wanted` right before it sends the message, and drops it on False.
         """
-        if not self.alive:
+        if not self.alive or self.finishing:
             return False
         try:
             self.send_queue.put_nowait(Outgoing(encode(message), still_wanted))
@@ -122,6 +129,25 @@
             return False
         return True
 
+    @property
+    def finishing(self) -> bool:
+        """Whether this side is closed for sending, while the peer's messages are still read."""
+        return self.finishing_ms > 0
+
+    def finish(self, close_reason: str) -> None:
+        """Closes this side once all queued messages are written; the peer is read until it closes too.
+
+        What the peer writes before it sees the end is thus received. The owner bounds how long that may take.
+        """
+        if not self.alive or self.finishing:
+            return
+        self.close_reason = self.close_reason or close_reason
+        self.finishing_ms = now_ms()
+        try:
+            self.send_queue.put_nowait(EndOfSending())
+        except queue.Full:
+            self.close()
+
     def unsent(self) -> int:
         """Number of messages not yet handed to the system, the one that the writer is sending included."""
         return self.send_queue.unfinished_tasks
@@ -168,6 +194,9 @@
             outgoing = self.send_queue.get()
             if outgoing is None:
                 break
+            if isinstance(outgoing, EndOfSending):
+                self._end_sending()
+                return
             try:
                 steps.reached(steps.WRITING)
                 if outgoing.still_wanted is None or outgoing.still_wanted():
@@ -181,6 +210,11 @@
                 break
         self.close()
 
+    def _end_sending(self) -> None:
+        with contextlib.suppress(OSError):  # the reader sees how the connection has ended
+            self.sock.shutdown(socket.SHUT_WR)
+        self.send_queue.task_done()
+
     def _read(self) -> None:
         """Runs in the reader's thread. On any error the connection is closed and `on_end` is called."""
         reset = False
@@ -195,7 +229,8 @@
             self._stop_reading("its handler failed")
         finally:
             self.close()
-            self._finish(reset or self.writer_failed)
+            # a peer may reset what this side has closed; that is no failure of the peer either
+            self._finish((reset or self.writer_failed) and not self.finishing)
 
     def _finish(self, reset: bool) -> None:
         try:
@@ -231,7 +266,10 @@
                 raise BlockingIOError
             data = self.sock.recv(READ_SIZE)
             if not data:
-                return self.alive and self._reset_by_peer()
+                # after a close of both sides the TCP state is that of a reset
+                reset = self.alive and not self.finishing and self._reset_by_peer()
+                self.closed_by_peer = self.alive and not reset and not self.writer_failed
+                return reset
             steps.reached(steps.READ)
             self.last_received_ms = now_ms()
             was_partial, completed = bool(framer.buffer), False
@@ -331,6 +369,7 @@
         on_end: Callable[[HubLink, bool], None],
     ) -> None:
         super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
+        self.for_recovery = False  # opened so that the lab hub repeats its releases; no set-up is sent here
         self.probed_ms = 0.0  # when OPTIONS was sent here after the connection had been replaced
         self.replaced_ms = 0.0  # when the connection that replaces it came up
         self.first_unanswered_ms = 0.0  # the first set-up sent here since the last received message
@@ -338,6 +377,12 @@
         self.cancelled_calls: dict[str, None] = {}  # an answer that crosses the CANCEL is released
         self.pending_sends: dict[str, PendingSend] = {}  # of the set-ups sent here, by call
 
+    def note_cancelled(self, call: str) -> None:
+        """Remembers a set-up that was written and given up."""
+        self.cancelled_calls[call] = None
+        if len(self.cancelled_calls) > MAX_CANCELLED_CALLS:
+            self.cancelled_calls.pop(next(iter(self.cancelled_calls)))
+
     def withdraw(self, call: str) -> bool:
         """Withdraws a set-up that still waits to be written; False if it is being or was written."""
         pending_send = self.pending_sends.pop(call, None)
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -101,6 +101,9 @@
     def release(self, hub: bytes, call: str) -> None:
         self.event_loop.post(lambda: self._release_hub(hub, call))
 
+    def forget(self, hub: bytes, call: str) -> None:
+        pass  # a dialog ends with its own transactions
+
     def probe(self, hub: bytes, deadline_ms: float) -> None:
         self.event_loop.post(lambda: self._send_probe(hub, deadline_ms))
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -81,6 +81,9 @@
     def release(self, hub: bytes, call: str) -> None:
         self.requests.append("release")
 
+    def forget(self, hub: bytes, call: str) -> None:
+        self.requests.append("forget")
+
     def probe(self, hub: bytes, deadline_ms: float) -> None:
         self.requests.append("probe")
 
--- /dev/null
+++ b/tests/test_hub_calls.py
@@ -0,0 +1,85 @@
+"""Which calls a lost connection leaves in doubt, and when further connections are opened for them."""
+
+from __future__ import annotations
+
+import pytest
+
+from landingdeal.net.hub_calls import END_NOTICE_MS, HubCalls
+
+LIMIT_MS = 8000.0  # from the end of a call to the notification of its caller
+
+
+def calls_on(connection: int, *call_ids: str) -> HubCalls:
+    calls = HubCalls()
+    calls.connection_opened(connection, 0.0)
+    for call_id in call_ids:
+        calls.call_established(call_id, connection)
+    return calls
+
+
+def openings(calls: HubCalls, until_ms: float, first_number: int = 100) -> list[float]:
+    """Opens a connection whenever one is due, and closes it in good order; returns the times."""
+    times: list[float] = []
+    for now in range(0, int(until_ms), 100):
+        if calls.recovery_due(now):
+            number = first_number + len(times)
+            calls.connection_opened(number, now)
+            calls.connection_ended(number, now + 50, closed_by_hub=True)
+            times.append(float(now))
+    return times
+
+
+def test_a_connection_closed_by_the_hub_leaves_no_call_in_doubt() -> None:
+    calls = calls_on(1, "a")
+    calls.connection_ended(1, 0.0, closed_by_hub=True)
+    assert not calls.in_doubt() and not openings(calls, 60_000)
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_connections_are_opened_within_the_limit_for_as_long_as_a_call_is_in_doubt(ended: bool) -> None:
+    calls = calls_on(1, "a")
+    if ended:
+        calls.connection_ended(1, 0.0, closed_by_hub=False)
+    else:
+        calls.connection_silent(1, 0.0)
+    times = openings(calls, 120_000)
+    assert calls.in_doubt() == ["a"]
+    gaps = [later - earlier for earlier, later in zip([0.0, *times], [*times, 120_000.0], strict=True)]
+    assert max(gaps) <= LIMIT_MS / 2 + 100, "no room for a connect that fails"
+    calls.call_ended("a")
+    assert not openings(calls, 60_000, 1000)[1:]
+
+
+def test_a_silent_connection_closed_by_the_hub_is_followed_by_one_more_after_the_hub_saw_the_end() -> None:
+    calls = calls_on(1, "a")
+    calls.connection_silent(1, 0.0)
+    calls.connection_ended(1, 500.0, closed_by_hub=True)
+    times = openings(calls, 60_000)
+    assert times[-1] >= 500.0 + END_NOTICE_MS and len(times) == 1
+
+
+def test_calls_on_a_sound_connection_are_not_in_doubt_when_another_one_is_lost() -> None:
+    calls = calls_on(1, "a")
+    calls.connection_opened(2, 100.0)
+    calls.call_established("b", 2)
+    calls.connection_ended(1, 200.0, closed_by_hub=False)
+    assert calls.in_doubt() == ["a"]
+
+
+def test_a_call_of_a_closed_connection_is_in_doubt_while_another_one_is_silent() -> None:
+    """Without the connection of its set-up, its release may go to any that the lab hub takes for open."""
+    calls = calls_on(1, "a")
+    calls.connection_opened(2, 100.0)
+    calls.connection_ended(1, 200.0, closed_by_hub=True)
+    calls.connection_silent(2, 300.0)
+    assert calls.in_doubt() == ["a"]
+    calls.connection_heard(2)
+    assert not calls.in_doubt() and not openings(calls, 60_000)
+
+
+def test_a_connect_that_fails_is_tried_again() -> None:
+    calls = calls_on(1, "a")
+    calls.connection_ended(1, 0.0, closed_by_hub=False)
+    assert calls.recovery_due(1000.0)
+    calls.recovery_failed(1500.0)
+    assert not calls.recovery_due(2400.0) and calls.recovery_due(2500.0)
--- /dev/null
+++ b/tests/test_hub_connection_loss.py
@@ -0,0 +1,68 @@
+"""What is written to a connection that this side closes or loses: releases, answers, BYE, ACK and CANCEL."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from landingdeal.core.events import HubFailed, HubReleased
+from tests.releasing_hub import HubConnectionsHarness
+
+RELEASE_LIMIT_MS = 8050.0  # PROTOCOL: within 8 s of its end, and each limit is 50 ms longer
+PROMPT_RELEASE_LIMIT_MS = 1050.0  # within 1 s of a release that could be sent
+MALFORMED_ANSWER = b"SIP/2.0 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def harness() -> Iterator[HubConnectionsHarness]:
+    harness = HubConnectionsHarness()
+    yield harness
+    harness.end()
+
+
+@pytest.mark.parametrize("passes_on_after_ms", [0.0, 1500.0, None])
+def test_a_release_written_to_a_replaced_connection_is_received_in_time(
+    harness: HubConnectionsHarness, passes_on_after_ms: float | None
+) -> None:
+    """review/1: the connection is replaced while silent, and the call ends after the new one was opened."""
+    harness.establish("a")
+    silent = harness.replace_current()
+    harness.hub.release("a")
+    if passes_on_after_ms is not None:
+        harness.pass_time(passes_on_after_ms)
+        silent.pass_on()
+    harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
+    assert not any(isinstance(event, HubFailed) for event in harness.events)
+
+
+@pytest.mark.parametrize("lost_by", ["reset", "bytes that are no message", "message that is not whole"])
+def test_a_release_written_to_a_connection_that_only_this_side_has_lost_is_received_in_time(
+    harness: HubConnectionsHarness, lost_by: str
+) -> None:
+    """The lab hub takes the connection for open, and has repeated on the new one what went before."""
+    connection = harness.establish("a")
+    connection.reading.clear()
+    match lost_by:
+        case "reset":
+            connection.reset()
+        case "bytes that are no message":
+            connection.write(b"\x01\x02\r\n\r\n")
+        case _:
+            connection.write(MALFORMED_ANSWER[:20])
+    harness.wait_for_connection(1)
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
+
+
+def test_a_call_that_stands_is_not_released_when_its_connection_is_lost(
+    harness: HubConnectionsHarness,
+) -> None:
+    connection = harness.establish("a")
+    connection.reading.clear()
+    connection.reset()
+    harness.pass_time(RELEASE_LIMIT_MS + 1000.0)
+    assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
+    assert not any("BYE" in on.received_methods("a") for on in harness.hub.connections)
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -29,7 +29,8 @@
 from landingdeal.net.bus import BusReader
 from landingdeal.net.callers import CallerConnections
 from landingdeal.net.config import HubAddress, TopologyEvent
-from landingdeal.net.hubs import Hub, HubConnections
+from landingdeal.net.hub import Hub
+from landingdeal.net.hubs import HubConnections
 from landingdeal.net.link import MAX_QUEUED_MESSAGES, CallerLink, HubLink, Link
 from landingdeal.net.transaction import CallerTransaction
 from landingdeal.sip.message import Message, encode, request
