Platform: what a hub writes behind a malformed message is read on

Callers saw: a release that the hub wrote behind a malformed message, before it saw our close, came a second late, on a further connection. Cause: a malformed message closed its connection at once, unread. Change: its set-ups have failed and it is closed for sending, but where the framing holds it is read until the hub closes it. Answers there are ignored as before. The same for an answer without a description.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -24,7 +24,7 @@
 from landingdeal.net.link import HubLink, dial
 from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.headers import load_values, reason_header, rejection_reason, release_cause
-from landingdeal.sip.message import FramingError, MalformedMessage, Message, request, response
+from landingdeal.sip.message import MalformedMessage, Message, request, response
 from landingdeal.threads import start_supervised_thread, start_thread
 
 # of the shortest class target: a lab hub is dialled again if a set-up gets no message back for so long
@@ -50,6 +50,10 @@
     return body.endswith(b"\r\n") and all(32 <= char < 127 or char in b"\t\r\n" for char in body)
 
 
+class MalformedAnswer(Exception):
+    """A lab hub accepted a call with an answer that can't be passed on."""
+
+
 class HubConnections:
     """The connections to all lab hubs. Implements `HubClient` for the core."""
 
@@ -474,11 +478,15 @@
         self._note_received(hub)
         if isinstance(message, MalformedMessage):
             # after a malformed message, further answers on this connection cannot be relied on
-            raise FramingError(f"{hub.name!r} sent a malformed message: {message.problem}")
+            self._abandon(hub, link, f"malformed message: {message.problem}")
+            return
         if message.status:
             method = message.cseq[1]
             if method == "INVITE" and message.status >= 200:
-                self._on_final_answer(hub, link, message)
+                try:
+                    self._on_final_answer(hub, link, message)
+                except MalformedAnswer as error:
+                    self._abandon(hub, link, str(error))
             elif method == "OPTIONS" and message.status >= 200:
                 self._on_probe_answer(hub, message)
             return
@@ -508,8 +516,7 @@
                 log_event("answer_ignored", call=call, hub=hub.name, status=message.status)
                 return  # a repeated answer or an unknown id: no call is affected
             if established and not is_whole_description(message.body):
-                # its set-up stays pending and ends with the connection
-                raise FramingError(f"{hub.name!r} sent an answer without a valid description")
+                raise MalformedAnswer("an answer without a valid description")
             attempt = pending_calls.pop(call, None)
             link.cancelled_calls.pop(call, None)
             link.pending_sends.pop(call, None)
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -66,3 +66,21 @@
     assert not any("BYE" in on.received_methods("a") for on in harness.hub.connections)
     harness.hub.release("a")
     harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
+
+
+@pytest.mark.parametrize("closed_for", ["being replaced", "a malformed message"])
+def test_a_release_that_crosses_our_close_of_a_connection_is_received(
+    harness: HubConnectionsHarness, closed_for: str
+) -> None:
+    """The lab hub does not see the close yet, and has repeated on the new connection what went before."""
+    connection = harness.establish("a")
+    connection.reading.clear()
+    if closed_for == "being replaced":
+        harness.dial_again()
+        harness.wait_for(lambda: any(link.close_reason for link in harness.state.pending))
+    else:
+        connection.write(MALFORMED_ANSWER)
+        harness.wait_for_connection(1)
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
+    assert len(harness.hub.connections) == 2, "it was received on the connection itself"
