Platform: a BYE that a lost hub connection carried is sent again on the next one

Hubs saw: a call that its caller had released stood on, if the BYE was written to a connection that was reset before it was read. Cause: a BYE was forgotten once it was queued on a connection. It is dropped if the call is set up there again.

--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -9,6 +9,7 @@
 from landingdeal.core.events import Attempt
 from landingdeal.net.hub_calls import HubCalls
 from landingdeal.net.link import HubLink
+from landingdeal.net.outgoing_releases import OutgoingReleases
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,7 @@
         self.pending: dict[HubLink, dict[str, Attempt]] = {}  # of each connection that has not ended
         self.queued: list[Attempt] = []
         self.calls = HubCalls()
-        self.queued_releases: list[str] = []  # sent once there is a connection
+        self.releases = OutgoingReleases()
         self.pending_probes: dict[str, PendingProbe] = {}
         self.removed = self.draining = False
         self.keeper_running = False  # its thread keeps it connected
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -32,7 +32,6 @@
 MIN_UNRESPONSIVE_MS = 100.0
 CHECK_INTERVAL_MS = 100.0
 REDIAL_INTERVAL_MS = 250.0  # after a failed connect
-MAX_QUEUED_RELEASES = 2000  # for each lab hub
 MAX_HUBS = 512  # including those removed less than 7 s ago
 MAX_RECONNECT_MS = 700.0  # a lab hub that accepts again so soon after a reset was not restarted
 # 504: the set-up was interrupted on its way and may have been carried out. A live lab hub sends
@@ -138,6 +137,7 @@
             if check.replace:
                 hub.last_suspected_ms = now
                 self._replace_connection(hub, now)
+            self._send_queued_releases(hub)
             hub.recovering = hub.recovering or check.recovery_due
             removable = hub.removed and hub.declared_failed and not hub.keeper_running and not hub.pending
         for pending_probe in check.expired_probes:
@@ -240,9 +240,7 @@
             )
             hub.refused_connects, hub.suspect_reset_ms = 0, 0.0
             self._note_received(hub)
-            queued_releases, hub.queued_releases = hub.queued_releases, []
-            for call in queued_releases:
-                link.send(self._bye_request(call))
+            self._send_queued_releases(hub)
             queued = hub.take_queued()
             undeliverable = [attempt for attempt in queued if not self._send_set_up(hub, link, attempt)]
         try:
@@ -307,6 +305,8 @@
             if hub.link is link:
                 hub.link = None
                 hub.changed.notify()
+            hub.releases.connection_lost(link.number, now_ms())
+            self._send_queued_releases(hub)
         log_event("hub_connection_given_up", hub=hub.name, link=link.number, why=reason,
                   pending=len(interrupted))  # fmt: skip
         link.finish(reason)
@@ -325,6 +325,7 @@
             hub.changed.notify()
             if reset and not was_replaced:
                 hub.suspect_reset_ms = hub.last_reset_ms = failed_before_ms
+            self._send_queued_releases(hub)
         end_description = (
             "reset" if reset else f"closed: {link.close_reason}" if link.close_reason else "closed"
         )
@@ -340,6 +341,7 @@
         """Removes an ended connection; returns its pending set-ups. The caller holds the lock."""
         pending = hub.pending.pop(link, {})
         hub.calls.connection_ended(link.number, now, link.closed_by_peer)
+        hub.releases.connection_lost(link.number, now)
         return list(pending.values())
 
     def _report_interrupted(self, interrupted: list[Attempt]) -> None:
@@ -398,6 +400,7 @@
             if pending_calls is None or not link.send(message, still_wanted=pending_send.claim):
                 return False
             pending_calls[offer.call_id] = attempt
+            hub.releases.confirmed(offer.call_id)  # a release sent again would end this set-up's call
             link.pending_sends[offer.call_id] = pending_send
             if link.first_unanswered_ms <= link.last_received_ms:
                 link.first_unanswered_ms = now_ms()
@@ -445,12 +448,8 @@
             return
         with hub.changed:
             hub.calls.call_ended(call)
-            link = hub.link
-            if link is None or not link.alive:
-                if len(hub.queued_releases) < MAX_QUEUED_RELEASES:
-                    hub.queued_releases.append(call)
-                return
-        link.send(self._bye_request(call))
+            hub.releases.queue(call, now_ms())
+            self._send_queued_releases(hub)
 
     def forget(self, name: bytes, call: str) -> None:
         hub = self._find_hub(name)
@@ -459,6 +458,19 @@
         with hub.changed:
             hub.calls.call_ended(call)
 
+    def _send_queued_releases(self, hub: Hub) -> None:
+        """Sends the queued releases if there is a connection. The caller holds the lock."""
+        link = hub.link
+        if link is None or not link.alive or link.finishing:
+            return
+        for call_id, requested_ms in hub.releases.take_due(now_ms()).items():
+            if hub.has_call(call_id):
+                continue  # it was set up there again
+            if link.send(self._bye_request(call_id)):
+                hub.releases.sent(call_id, link.number, requested_ms)
+            else:
+                hub.releases.queue(call_id, requested_ms)
+
     def probe(self, name: bytes, deadline_ms: float) -> None:
         hub = self._find_hub(name)
         if hub is None:
@@ -489,6 +501,9 @@
                     self._abandon(hub, link, str(error))
             elif method == "OPTIONS" and message.status >= 200:
                 self._on_probe_answer(hub, message)
+            elif method == "BYE" and message.status >= 200:
+                with hub.changed:
+                    hub.releases.confirmed(message.call_id)
             return
         match message.method:
             case "BYE":
@@ -497,6 +512,7 @@
                 log_event("hub_released", call=message.call_id, hub=hub.name, cause=cause, link=link.number)
                 with hub.changed:
                     hub.calls.call_ended(message.call_id)
+                    hub.releases.confirmed(message.call_id)
                 hub_load = load_values(message, self.settings)
                 self.inbox.put(HubReleased(message.call_id, hub.name, cause, hub_load))
             case "NOTIFY":
@@ -525,7 +541,7 @@
         self._acknowledge(link, message, attempt.offer.uri if attempt else "sip:hub@net")
         if attempt is None:
             if established:
-                self._release_unwanted(hub, link, call)
+                self._release_unwanted(hub, call)
             return
         if established:
             self.inbox.put(AttemptEstablished(attempt, message.body))
@@ -538,12 +554,12 @@
         cseq = ("cseq", f"{answer.cseq[0]} ACK")
         link.send(request("ACK", uri, self.via, ("call-id", answer.call_id), cseq))
 
-    def _release_unwanted(self, hub: Hub, link: HubLink, call: str) -> None:
+    def _release_unwanted(self, hub: Hub, call: str) -> None:
         """Releases a call whose answer crossed our CANCEL, unless it was sent to this lab hub again."""
         with hub.changed:
-            sent_again = hub.has_call(call)
-        if not sent_again and not link.send(self._bye_request(call)):
-            self.release(hub.name, call)
+            if not hub.has_call(call):
+                hub.releases.queue(call, now_ms())
+                self._send_queued_releases(hub)
 
     def _on_probe_answer(self, hub: Hub, message: Message) -> None:
         with hub.changed:
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -7,7 +7,8 @@
 import pytest
 
 from landingdeal.core.events import HubFailed, HubReleased
-from tests.releasing_hub import HubConnectionsHarness
+from landingdeal.net.hub_calls import END_NOTICE_MS
+from tests.releasing_hub import HUB_NAME, HubConnectionsHarness
 
 RELEASE_LIMIT_MS = 8050.0  # PROTOCOL: within 8 s of its end, and each limit is 50 ms longer
 PROMPT_RELEASE_LIMIT_MS = 1050.0  # within 1 s of a release that could be sent
@@ -84,3 +85,26 @@
     harness.hub.release("a")
     harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
     assert len(harness.hub.connections) == 2, "it was received on the connection itself"
+
+
+def test_our_release_that_was_not_read_before_a_reset_is_sent_on_the_next_connection(
+    harness: HubConnectionsHarness,
+) -> None:
+    connection = harness.establish("a")
+    connection.reading.clear()
+    harness.hubs.release(HUB_NAME, "a")
+    harness.pass_time(100.0)
+    connection.reset()
+    harness.wait_for_connection(1)
+    harness.wait_for(lambda: "BYE" in harness.hub.connections[1].received_methods("a"))
+
+
+def test_our_release_that_was_confirmed_is_not_sent_again(harness: HubConnectionsHarness) -> None:
+    connection = harness.establish("a")
+    harness.hubs.release(HUB_NAME, "a")
+    harness.wait_for(lambda: "BYE" in connection.received_methods("a"))
+    harness.pass_time(100.0)
+    connection.reset()
+    harness.wait_for_connection(1)
+    harness.pass_time(END_NOTICE_MS + 500.0)
+    assert all(not on.received_methods("a") for on in harness.hub.connections[1:])
