Platform: a call whose answer was lost or crossed a CANCEL elsewhere is released at its hub

Hubs saw: calls that stand without anyone at the other end: the answer was lost with its connection, or it crossed our CANCEL and came on another connection than the set-up. Cause: cancelled set-ups were known by connection and went with it, and a set-up interrupted by the loss of its connection was taken for given up, also if the hub had answered. Change: cancelled set-ups are known by hub; unless the hub itself closed the connection, those without an answer get a BYE once it must have seen the end (1 s). A call that was set up there again, pending or established, is never released for its first attempt; before, a late answer of the first one released it.

--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -11,6 +11,8 @@
 from landingdeal.net.link import HubLink
 from landingdeal.net.outgoing_releases import OutgoingReleases
 
+MAX_CANCELLED_CALLS = 256  # cancelled set-ups whose answer may cross the CANCEL
+
 
 @dataclass(frozen=True, slots=True)
 class PendingProbe:
@@ -33,6 +35,7 @@
         self.queued: list[Attempt] = []
         self.calls = HubCalls()
         self.releases = OutgoingReleases()
+        self.cancelled_calls: dict[str, int] = {}  # the connection of their set-up; an answer is released
         self.pending_probes: dict[str, PendingProbe] = {}
         self.removed = self.draining = False
         self.keeper_running = False  # its thread keeps it connected
@@ -59,6 +62,12 @@
                     unwritten.append(attempts.pop(call))
         return unwritten
 
+    def note_cancelled(self, call_id: str, link: HubLink) -> None:
+        """Remembers a set-up that was written and given up. The caller holds the lock."""
+        self.cancelled_calls[call_id] = link.number
+        if len(self.cancelled_calls) > MAX_CANCELLED_CALLS:
+            self.cancelled_calls.pop(next(iter(self.cancelled_calls)))
+
     def has_call(self, call_id: str) -> bool:
         """Whether the call is established or pending at this lab hub. The caller holds the lock."""
         return self.calls.stands(call_id) or any(call_id in calls for calls in self.pending.values())
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -20,6 +20,7 @@
 )
 from landingdeal.log import log_event, log_text
 from landingdeal.net.hub import Hub, PendingProbe
+from landingdeal.net.hub_calls import END_NOTICE_MS
 from landingdeal.net.hub_check import check_hub
 from landingdeal.net.link import HubLink, dial
 from landingdeal.net.pending_send import PendingSend
@@ -301,7 +302,7 @@
                 hub.pending[link] = {}
             for attempt in interrupted:
                 if not link.withdraw(attempt.offer.call_id):
-                    link.note_cancelled(attempt.offer.call_id)
+                    hub.note_cancelled(attempt.offer.call_id, link)
             if hub.link is link:
                 hub.link = None
                 hub.changed.notify()
@@ -338,10 +339,21 @@
 
     @staticmethod
     def _forget_connection(hub: Hub, link: HubLink, now: float) -> list[Attempt]:
-        """Removes an ended connection; returns its pending set-ups. The caller holds the lock."""
+        """Removes an ended connection; returns its pending set-ups. The caller holds the lock.
+
+        An answer that the lab hub wrote there may be lost: unless it closed the connection itself, the calls
+        of unanswered set-ups are released.
+        """
         pending = hub.pending.pop(link, {})
         hub.calls.connection_ended(link.number, now, link.closed_by_peer)
         hub.releases.connection_lost(link.number, now)
+        for call_id in pending:
+            if not link.withdraw(call_id):
+                hub.note_cancelled(call_id, link)
+        if not link.closed_by_peer:
+            for call_id, connection in hub.cancelled_calls.items():
+                if connection == link.number:
+                    hub.releases.queue(call_id, now, now + END_NOTICE_MS)
         return list(pending.values())
 
     def _report_interrupted(self, interrupted: list[Attempt]) -> None:
@@ -421,7 +433,7 @@
             if link is not None:
                 del hub.pending[link][attempt.offer.call_id]
             if link is not None and written:
-                link.note_cancelled(attempt.offer.call_id)
+                hub.note_cancelled(attempt.offer.call_id, link)
             unresponsive = (
                 link is not None and link is not hub.link and link.last_received_ms < attempt.sent_ms
             )
@@ -528,13 +540,14 @@
         link.last_answer_ms = now_ms()
         with hub.changed:
             pending_calls = hub.pending.get(link, {})
-            if call not in pending_calls and call not in link.cancelled_calls:
+            if call not in pending_calls and call not in hub.cancelled_calls:
                 log_event("answer_ignored", call=call, hub=hub.name, status=message.status)
                 return  # a repeated answer or an unknown id: no call is affected
             if established and not is_whole_description(message.body):
                 raise MalformedAnswer("an answer without a valid description")
             attempt = pending_calls.pop(call, None)
-            link.cancelled_calls.pop(call, None)
+            if attempt is None or hub.cancelled_calls.get(call) == link.number:
+                hub.cancelled_calls.pop(call, None)
             link.pending_sends.pop(call, None)
             if established and attempt is not None:
                 hub.calls.call_established(call, link.number)
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -27,7 +27,6 @@
 NO_DEADLINE = float("inf")
 TCP_CLOSED = 7  # TCP state after a reset; after an orderly close by the peer it is CLOSE_WAIT, 8
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of an oversized message that is refused, then read and dropped
-MAX_CANCELLED_CALLS = 256  # per connection: cancelled set-ups whose answer may cross the CANCEL
 MAX_QUEUED_MESSAGES = 512  # per connection; a peer that leaves so many messages unread is disconnected
 _TCPI_BYTES_RECEIVED = struct.Struct("128xQ")  # field tcpi_bytes_received of struct tcp_info
 _TIMEVAL = struct.Struct("ll")  # struct timeval: seconds and microseconds
@@ -374,15 +373,8 @@
         self.replaced_ms = 0.0  # when the connection that replaces it came up
         self.first_unanswered_ms = 0.0  # the first set-up sent here since the last received message
         self.last_answer_ms = 0.0  # the last final answer to a set-up
-        self.cancelled_calls: dict[str, None] = {}  # an answer that crosses the CANCEL is released
         self.pending_sends: dict[str, PendingSend] = {}  # of the set-ups sent here, by call
 
-    def note_cancelled(self, call: str) -> None:
-        """Remembers a set-up that was written and given up."""
-        self.cancelled_calls[call] = None
-        if len(self.cancelled_calls) > MAX_CANCELLED_CALLS:
-            self.cancelled_calls.pop(next(iter(self.cancelled_calls)))
-
     def withdraw(self, call: str) -> bool:
         """Withdraws a set-up that still waits to be written; False if it is being or was written."""
         pending_send = self.pending_sends.pop(call, None)
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from landingdeal.core.events import HubFailed, HubReleased
+from badgerstile.interface import AttemptOutcome
+from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
 from landingdeal.net.hub_calls import END_NOTICE_MS
 from tests.releasing_hub import HUB_NAME, HubConnectionsHarness
 
@@ -108,3 +109,40 @@
     harness.wait_for_connection(1)
     harness.pass_time(END_NOTICE_MS + 500.0)
     assert all(not on.received_methods("a") for on in harness.hub.connections[1:])
+
+
+def test_an_answer_that_crosses_a_cancel_and_comes_on_another_connection_is_released(
+    harness: HubConnectionsHarness,
+) -> None:
+    harness.hub.answers = False
+    attempt = harness.set_up("a")
+    harness.hubs.cancel(attempt)
+    connection = harness.dial_again()
+    harness.hub.answer("a", connection)
+    harness.wait_for(lambda: connection.received_methods("a") == ["ACK", "BYE"])
+
+
+def test_a_call_whose_answer_was_lost_with_its_connection_is_released_at_its_hub(
+    harness: HubConnectionsHarness,
+) -> None:
+    harness.hub.answers = False
+    attempt = harness.set_up("a")
+    harness.hub.connections[0].reset()
+    harness.wait_for(lambda: AttemptFailed(attempt, AttemptOutcome.CANCELLED) in harness.events)
+    connection = harness.wait_for_connection(1)
+    harness.wait_for(lambda: connection.received_methods("a") == ["BYE"])
+
+
+def test_a_call_that_is_set_up_again_at_its_hub_is_not_released_for_its_first_attempt(
+    harness: HubConnectionsHarness,
+) -> None:
+    """The release of a lost answer would end the call that stands by then."""
+    harness.hub.answers = False
+    harness.set_up("a")
+    harness.hub.connections[0].reset()
+    connection = harness.wait_for_connection(1)
+    harness.hub.answers = True
+    harness.pass_time(300.0)
+    harness.hubs.set_up(harness.attempt("a"))
+    harness.pass_time(2 * END_NOTICE_MS)
+    assert connection.received_methods("a") == ["INVITE", "ACK"]
