Platform: an answer that is repeated on another connection is acknowledged again

Hubs saw: no ACK for an answer whose ACK was lost with its connection, also when they repeated the answer on the next one. Change: a repeated 2xx of a call that stands is acknowledged if it comes on another connection than the first (RFC 3261, 13.2.2.4). Measured: the new test fails on the commit before and passes here.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -541,8 +541,8 @@
         with hub.changed:
             pending_calls = hub.pending.get(link, {})
             if call not in pending_calls and call not in hub.cancelled_calls:
-                log_event("answer_ignored", call=call, hub=hub.name, status=message.status)
-                return  # a repeated answer or an unknown id: no call is affected
+                self._on_unexpected_answer(hub, link, message)
+                return
             if established and not is_whole_description(message.body):
                 raise MalformedAnswer("an answer without a valid description")
             attempt = pending_calls.pop(call, None)
@@ -567,6 +567,16 @@
         cseq = ("cseq", f"{answer.cseq[0]} ACK")
         link.send(request("ACK", uri, self.via, ("call-id", answer.call_id), cseq))
 
+    def _on_unexpected_answer(self, hub: Hub, link: HubLink, message: Message) -> None:
+        """A repeated answer or an unknown id: no call is affected.
+
+        An answer that comes again on another connection shows that its ACK was lost with the first one.
+        """
+        log_event("answer_ignored", call=message.call_id, hub=hub.name, status=message.status)
+        established_on = hub.calls.connection_of(message.call_id)
+        if message.status < 300 and established_on not in (None, link.number):
+            self._acknowledge(link, message, "sip:hub@net")
+
     def _release_unwanted(self, hub: Hub, call: str) -> None:
         """Releases a call whose answer crossed our CANCEL, unless it was sent to this lab hub again."""
         with hub.changed:
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -146,3 +146,13 @@
     harness.hubs.set_up(harness.attempt("a"))
     harness.pass_time(2 * END_NOTICE_MS)
     assert connection.received_methods("a") == ["INVITE", "ACK"]
+
+
+def test_an_answer_that_is_repeated_on_another_connection_is_acknowledged_again(
+    harness: HubConnectionsHarness,
+) -> None:
+    """Its ACK may have been lost with the first connection."""
+    harness.establish("a").reset()
+    connection = harness.wait_for_connection(1)
+    harness.hub.answer("a", connection)
+    harness.wait_for(lambda: connection.received_methods("a") == ["ACK"])
