Platform: a removed hub is connected for as long as calls stand there

Callers saw: calls at a hub that the list had removed and that closed its connection were cut after 7 s although they stood, and a release in these 7 s could not come. Cause: the thread that connects ended with the removal, and the silence that followed was our own doing. Change: it ends when the hub is removed and no call stands there. Set-ups are not sent to it, as before. If its process is gone the connect is refused and the calls are cut at once; if it is silent, after 7 s as before. Measured: the new test fails on the commit before and passes here.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -175,12 +175,15 @@
     # --- connections ---
 
     def _keep_connected(self, hub: Hub) -> None:
-        """Keeps a connection open, since load reports come on it. Ends when the lab hub is removed."""
+        """Keeps a connection open, since load reports and releases come on it.
+
+        Ends when the lab hub is removed and no call stands there.
+        """
         while True:
             with hub.changed:
                 while hub.link is not None and hub.link.alive:
                     hub.changed.wait()
-                if hub.removed:
+                if hub.removed and not (hub.port and hub.calls.any_stand()):
                     hub.link, hub.keeper_running = None, False
                     queued = hub.take_queued()
                     failed_before_ms, hub.suspect_reset_ms = hub.suspect_reset_ms, 0.0
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -156,3 +156,16 @@
     connection = harness.wait_for_connection(1)
     harness.hub.answer("a", connection)
     harness.wait_for(lambda: connection.received_methods("a") == ["ACK"])
+
+
+def test_a_removed_hub_that_closes_its_connection_can_still_release_its_calls(
+    harness: HubConnectionsHarness,
+) -> None:
+    """The list may be wrong or late: a call that stands there is neither cut nor left standing."""
+    connection = harness.establish("a")
+    harness.hubs.update_hub(HUB_NAME, harness.hub.address, True)
+    harness.hub.closed(connection)
+    harness.wait_for_connection(1)
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
+    assert not any(isinstance(event, HubFailed) for event in harness.events)
