Platform: a hub connection that gets no thread is kept until it does

Callers saw: a release was lost if the connection on which the hub repeated it got no thread: it was closed unread, and a hub repeats a release once. Change: the connection stays open and its threads are tried again, the reader first; set-ups that wait for it are withdrawn and reported as unreachable, as before.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -247,18 +247,35 @@
             self._send_queued_releases(hub)
             queued = hub.take_queued()
             undeliverable = [attempt for attempt in queued if not self._send_set_up(hub, link, attempt)]
-        try:
-            link.start()
-        except RuntimeError:  # the system has no thread left
-            link.close()
-            self._on_connection_ended(hub, link, reset=False)
-            raise
+        self._start_link(hub, link)
         if failed_before_ms:  # so long after the reset it is a new process
             self.inbox.put(HubFailed(hub.name, failed_before_ms))
         log_event("hub_connected", hub=hub.name, link=link.number)
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
+    def _start_link(self, hub: Hub, link: HubLink) -> None:
+        """Starts the threads of a connection; waits for them if the system has none left.
+
+        The lab hub repeats its releases once, on the next connection: one that is closed unread would lose
+        them. The set-ups that wait for it are withdrawn.
+        """
+        while True:
+            try:
+                link.start()
+                return
+            except RuntimeError as error:
+                self._withdraw_unwritten(hub, link)
+                log_event("hub_connection_waits_for_thread", hub=hub.name, link=link.number, error=error)
+                time.sleep(seconds_until(now_ms() + REDIAL_INTERVAL_MS))
+
+    def _withdraw_unwritten(self, hub: Hub, link: HubLink) -> None:
+        with hub.changed:
+            waiting = hub.pending.get(link, {})
+            withdrawn = [waiting.pop(call) for call in list(waiting) if link.withdraw(call)]
+        for attempt in withdrawn:
+            self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
+
     def _start_recovery(self, hub: Hub) -> None:
         """Opens a further connection in a thread of its own: the lab hub repeats its releases on it."""
         try:
@@ -282,11 +299,7 @@
             in_doubt = hub.calls.in_doubt()
             hub.calls.connection_opened(link.number, dialled_ms)
         log_event("hub_recovery", hub=hub.name, link=link.number, calls=len(in_doubt))
-        try:
-            link.start()
-        except RuntimeError:  # the system has no thread left
-            link.close()
-            self._on_connection_ended(hub, link, reset=False)
+        self._start_link(hub, link)
 
     @staticmethod
     def _recovery_failed(hub: Hub) -> None:
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -374,6 +374,17 @@
         self.first_unanswered_ms = 0.0  # the first set-up sent here since the last received message
         self.last_answer_ms = 0.0  # the last final answer to a set-up
         self.pending_sends: dict[str, PendingSend] = {}  # of the set-ups sent here, by call
+        self.reader_started = False
+
+    def start(self) -> None:
+        """Starts both threads, the reader first; after a RuntimeError it may be called again.
+
+        The connection stays open meanwhile: releases that its lab hub writes there are not repeated.
+        """
+        if not self.reader_started:
+            start_thread("reader", self._read, THREAD_START_TIMEOUT_MS)
+            self.reader_started = True
+        start_thread("writer", self._write, THREAD_START_TIMEOUT_MS)
 
     def withdraw(self, call: str) -> bool:
         """Withdraws a set-up that still waits to be written; False if it is being or was written."""
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator
 
 import pytest
 
 from badgerstile.interface import AttemptOutcome
 from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
+from landingdeal.net import link as link_module
 from landingdeal.net.hub_calls import END_NOTICE_MS
 from tests.releasing_hub import HUB_NAME, HubConnectionsHarness
 
@@ -169,3 +171,30 @@
     harness.hub.release("a")
     harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
     assert not any(isinstance(event, HubFailed) for event in harness.events)
+
+
+def test_releases_repeated_on_a_connection_that_gets_no_thread_at_first_are_received(
+    harness: HubConnectionsHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The lab hub repeats a release once: on a connection that is closed unread it would be lost."""
+    connection = harness.establish("a")
+    refusals = iter(["reader", "writer"])
+    due = [next(refusals)]
+
+    def start(thread: threading.Thread) -> None:
+        if thread.name in due:
+            due[:] = [next(refusals, "")]
+            raise RuntimeError("can't start new thread")
+        original_start(thread)
+
+    original_start = threading.Thread.start
+    monkeypatch.setattr(threading.Thread, "start", start)
+    monkeypatch.setattr(link_module, "THREAD_START_TIMEOUT_MS", 0.0)
+    connection.passing.clear()
+    harness.hub.release("a")
+    connection.reset()
+    harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
+    harness.establish("b")
+    assert (
+        due == [""] and len(harness.hub.connections) == 2
+    ), "the connection is kept until it has its threads"
