Platform: a hub that answers our close with a reset is not connected again and again

Cause: only an orderly close by the hub counted as its knowing of the end. Change: a reset after our close shows that the hub writes there no more; it is followed by one further connection only if calls were set up there, since what crossed the close may be lost. A replaced connection that lives is kept while calls of it stand, as long as there are fewer than four to that hub: so nothing crosses its close. The repeats of a recovery connection that is lost while no call stands are not looked for.

--- a/landingdeal/net/hub_calls.py
+++ b/landingdeal/net/hub_calls.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 # From one connection to the next while calls are in doubt; the last one repeats. With a connect that fails
 # twice it stays within the 8 s in which callers must be notified (PROTOCOL, "The rules on sockets").
@@ -22,12 +23,20 @@
 END_NOTICE_MS = 1000.0
 
 
+class ConnectionEnd(Enum):
+    """How a connection to a lab hub has ended."""
+
+    CLOSED_BY_HUB = "closed by the hub"  # all that the lab hub wrote there was read
+    ENDED_BY_HUB = "ended by the hub after our close"  # what it wrote last may be lost, it writes no more
+    LOST = "lost"  # the lab hub may go on writing there
+
+
 @dataclass(slots=True)
 class UnsettledConnection:
     """A connection that may have carried releases which were not received."""
 
     ended_ms: float = float("inf")  # until then it is open and silent
-    closed_by_hub: bool = False  # the lab hub has closed it too, and writes there no more
+    end: ConnectionEnd = ConnectionEnd.LOST
     followed: bool = False  # a connection was opened after the lab hub must have seen the end
 
 
@@ -59,6 +68,10 @@
         """Whether any call is established at this lab hub."""
         return bool(self._connections)
 
+    def has_calls(self, connection: int) -> bool:
+        """Whether calls stand that were set up on this connection."""
+        return connection in self._connections.values()
+
     def connection_of(self, call_id: str) -> int | None:
         """The number of the connection on which the call was established; None if it does not stand."""
         return self._connections.get(call_id)
@@ -94,14 +107,20 @@
         if connection in self._open:
             self._unsettled.pop(connection, None)
 
-    def connection_ended(self, connection: int, now: float, closed_by_hub: bool) -> None:
-        """The connection has ended; `closed_by_hub` if what the lab hub wrote there was read to its close.
+    def connection_ended(self, connection: int, now: float, end: ConnectionEnd) -> None:
+        """The connection has ended.
 
-        A close at the end of a silence is no proof of that: what stands between may have closed it.
+        A close at the end of a silence does not show that all was read: what stands between may have
+        closed it.
         """
         self._open.discard(connection)
-        if not closed_by_hub or connection in self._unsettled:
-            self._add_unsettled(connection, UnsettledConnection(now, closed_by_hub), now)
+        if connection in self._unsettled or self._may_lose_releases(connection, end):
+            self._add_unsettled(connection, UnsettledConnection(now, end), now)
+
+    def _may_lose_releases(self, connection: int, end: ConnectionEnd) -> bool:
+        if end is ConnectionEnd.ENDED_BY_HUB:
+            return self.has_calls(connection)
+        return end is ConnectionEnd.LOST
 
     def _add_unsettled(self, connection: int, unsettled: UnsettledConnection, now: float) -> None:
         self._unsettled[connection] = unsettled
@@ -128,5 +147,5 @@
         self._unsettled = {
             number: unsettled
             for number, unsettled in self._unsettled.items()
-            if not unsettled.followed or (in_doubt and not unsettled.closed_by_hub)
+            if not unsettled.followed or (in_doubt and unsettled.end is ConnectionEnd.LOST)
         }
--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -31,7 +31,7 @@
     recovery_due: bool = False  # a further connection is to be opened
     expired_probes: list[PendingProbe] = field(default_factory=list)
     unverified: list[HubLink] = field(default_factory=list)  # replaced and not probed yet
-    finished: list[HubLink] = field(default_factory=list)  # replaced, and nothing is pending there
+    finished: list[HubLink] = field(default_factory=list)  # replaced and not needed any more
     abandoned: list[HubLink] = field(default_factory=list)  # replaced and silent
     overdue: list[HubLink] = field(default_factory=list)  # to be closed at once
 
@@ -60,13 +60,17 @@
 
 
 def _check_replaced(hub: Hub, link: HubLink, current: HubLink | None, now: float, check: HubCheck) -> None:
-    """Checks a connection that is not the current one and has not been closed by this side."""
+    """Checks a connection that is not the current one and has not been closed by this side.
+
+    It is kept while calls of it stand: what crosses a close can be lost.
+    """
+    has_excess = len(hub.pending) >= MAX_CONNECTIONS
     if link.last_received_ms > link.probed_ms > 0:
         if _is_silent(link, now):
             hub.calls.connection_silent(link.number, now)
         else:
             hub.calls.connection_heard(link.number)
-        if not hub.pending[link]:
+        if not hub.pending[link] and (has_excess or not hub.calls.has_calls(link.number)):
             check.finished.append(link)
     elif current is not None and not link.probed_ms:
         link.probed_ms, link.replaced_ms = now, hub.connected_ms
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -20,7 +20,7 @@
 )
 from landingdeal.log import log_event, log_text
 from landingdeal.net.hub import Hub, PendingProbe
-from landingdeal.net.hub_calls import END_NOTICE_MS
+from landingdeal.net.hub_calls import END_NOTICE_MS, ConnectionEnd
 from landingdeal.net.hub_check import check_hub
 from landingdeal.net.link import HubLink, dial
 from landingdeal.net.pending_send import PendingSend
@@ -346,22 +346,32 @@
         end_description = (
             "reset" if reset else f"closed: {link.close_reason}" if link.close_reason else "closed"
         )
+        if link.reset_after_close:
+            end_description += ", then reset"
         log_event("hub_connection_ended", hub=hub.name, link=link.number, how=end_description,
-                  by_hub=link.closed_by_peer, pending=len(interrupted), replaced=was_replaced)  # fmt: skip
+                  pending=len(interrupted), replaced=was_replaced)  # fmt: skip
         self._report_interrupted(interrupted)
         if reset and was_replaced and not link.for_recovery:
             # it was silent, then reset: the process there now does not know it
             self.inbox.put(HubFailed(hub.name, failed_before_ms))
 
     @staticmethod
-    def _forget_connection(hub: Hub, link: HubLink, now: float) -> list[Attempt]:
+    def _connection_end(hub: Hub, link: HubLink) -> ConnectionEnd:
+        if link.closed_by_peer:
+            return ConnectionEnd.CLOSED_BY_HUB
+        nothing_to_recover = link.for_recovery and not hub.calls.any_stand()
+        if link.reset_after_close or nothing_to_recover:
+            return ConnectionEnd.ENDED_BY_HUB
+        return ConnectionEnd.LOST
+
+    def _forget_connection(self, hub: Hub, link: HubLink, now: float) -> list[Attempt]:
         """Removes an ended connection; returns its pending set-ups. The caller holds the lock.
 
         An answer that the lab hub wrote there may be lost: unless it closed the connection itself, the calls
         of unanswered set-ups are released.
         """
         pending = hub.pending.pop(link, {})
-        hub.calls.connection_ended(link.number, now, link.closed_by_peer)
+        hub.calls.connection_ended(link.number, now, self._connection_end(hub, link))
         hub.releases.connection_lost(link.number, now)
         for call_id in pending:
             if not link.withdraw(call_id):
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -101,6 +101,7 @@
         self.alive, self.writer_failed = True, False
         self.finishing_ms = 0.0  # when this side closed it for sending; 0 if it has not
         self.closed_by_peer = False  # all that the peer wrote was read, up to its close
+        self.reset_after_close = False  # the peer has answered the close of this side with a reset
         self.number = next(_link_numbers)  # identifies the connection in the log
         self.close_reason = ""  # why this side closed it; empty if the peer did
         self.handled_bytes = 0  # bytes received whose messages have been handled
@@ -223,6 +224,7 @@
             # after a close of our own, data still in flight from the peer causes a reset too; taking that for
             # a failure of the peer would release its established calls
             reset = self.alive
+            self.reset_after_close = self.alive and self.finishing
         except Exception:  # a failing handler must not leave this connection's set-ups unanswered
             traceback.print_exc(file=sys.stderr)
             self._stop_reading("its handler failed")
--- a/tests/releasing_hub.py
+++ b/tests/releasing_hub.py
@@ -79,6 +79,10 @@
         self.reading.set()
 
     def reset(self) -> None:
+        with suppress(OSError):  # it may have been closed meanwhile
+            self._reset()
+
+    def _reset(self) -> None:
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_RD)
@@ -99,6 +103,7 @@
         self.invites: dict[str, Message] = {}
         self.to_repeat: list[str] = []
         self.answers = True
+        self.resets_closed_connections = False  # it answers our close with a reset
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
@@ -136,6 +141,8 @@
         with self.lock:
             if connection in self.open:
                 self.open.remove(connection)
+            if self.resets_closed_connections:
+                connection.reset()
             connection.sock.close()
 
     def send_state(self) -> None:
