Core: a test that the connections forget each call that is over

Need: a call that HubCalls kept for ever, as one whose release came before its answer, would be looked for on further connections without end.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -24,6 +24,7 @@
     Attempt,
     AttemptEstablished,
     AttemptFailed,
+    HubFailed,
     HubListChanged,
     HubReleased,
     LoadReported,
@@ -149,6 +150,20 @@
     assert not harness.broker.pending and not harness.broker.pending_by_number
 
 
+@pytest.mark.parametrize("release_comes", ["after its answer", "before its answer", "with its hub's failure"])
+def test_the_connections_forget_a_call_that_is_over_at_the_core(release_comes: str) -> None:
+    """A call kept there would be taken for one whose release is still to come."""
+    harness = CoreHarness()
+    harness.offer()
+    released, established = HubReleased("a", HUB, 16), AttemptEstablished(harness.hubs.sent[0], b"theirs")
+    if release_comes == "before its answer":
+        harness.give(released, established)
+    else:
+        harness.give(established)
+        harness.give(released if release_comes == "after its answer" else HubFailed(HUB, now_ms() + 1))
+    assert harness.hubs.requests == ["forget"]
+
+
 def test_a_call_answered_after_its_cancel_is_released() -> None:
     harness = CoreHarness()
     harness.offer()
