Log: a standard error that nobody reads costs lines, not the threads that log

Cause: a write to a full pipe waits, and it was made by the thread that logs, the core's and the front's too. Change: a line is written only if the stream takes 4,096 bytes without waiting, else it is left out and counted; the next line of its kind says how many. One write a line, under the lock: lines of two threads no longer run into each other. Tracebacks go the same way. Way not taken: a thread of its own behind a queue costs a switch for each line and the last lines at the end.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -9,8 +9,6 @@
 import heapq
 import itertools
 import queue
-import sys
-import traceback
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
@@ -60,7 +58,7 @@
 )
 from landingdeal.core.guard import Guard
 from landingdeal.core.lifecycle import Lifecycle
-from landingdeal.log import log_event, log_text
+from landingdeal.log import log_event, log_exception, log_text
 
 MAX_INBOX_SIZE = 4096  # events; above this, set-ups are refused at once
 MAX_PENDING_CALLS = 4000  # further set-ups are refused
@@ -202,7 +200,7 @@
         try:
             self._handle(event)
         except Exception:  # one faulty event must not end the program and all other calls
-            traceback.print_exc(file=sys.stderr)
+            log_exception()
             if isinstance(event, Offer):
                 call = self.pending.get(event.call_id)
                 if call is not None and call.attempt is None:
--- a/landingdeal/log.py
+++ b/landingdeal/log.py
@@ -1,19 +1,25 @@
 """Logging to standard error: free text, and events of a fixed kind with named fields.
 
 Each kind is rate-limited on its own, so that a flood of one hides no other. The next line of a kind states
-how many were left out. Nothing here raises: a closed or full standard error must not end the calling thread.
+how many were left out. Nothing here raises or waits: a standard error that is closed, or whose reader is slow
+or stopped, costs lines and never the calling thread.
 """
 
 from __future__ import annotations
 
 import contextlib
+import select
 import sys
 import threading
+import traceback
+from typing import TextIO
 
 from landingdeal.clock import now_ms
 
 MAX_LINES_PER_S = 20.0  # for each kind
 TEXT_KIND = "text"  # the kind that free text is limited under
+EXCEPTION_KIND = "exception"
+PIPE_ROOM_BYTES = 4096  # PIPE_BUF: a pipe that is ready takes so much without waiting
 
 
 class TokenBucket:
@@ -47,10 +53,34 @@
             bucket = _buckets[kind] = TokenBucket(now)
         if not bucket.take(now):
             return
-        dropped_lines, bucket.dropped = bucket.dropped, 0
-    suffix = f" ({dropped_lines} lines left out before this)" if dropped_lines else ""
+        suffix = f" ({bucket.dropped} lines left out before this)" if bucket.dropped else ""
+        if _write_to_stream(f"{now / 1000:.3f} {text}{suffix}\n"):
+            bucket.dropped = 0
+        else:
+            bucket.dropped += 1
+
+
+def _write_to_stream(text: str) -> bool:
+    """Writes to standard error if that does not wait; false if not all of it was written."""
     with contextlib.suppress(OSError, ValueError):
-        print(f"{now / 1000:.3f} {text}{suffix}", file=sys.stderr, flush=True)
+        for start in range(0, len(text), PIPE_ROOM_BYTES // 4):  # a character has at most four bytes
+            if not _takes_more(sys.stderr):
+                return False
+            sys.stderr.write(text[start : start + PIPE_ROOM_BYTES // 4])
+            sys.stderr.flush()
+        return True
+    return False
+
+
+def _takes_more(stream: TextIO) -> bool:
+    """Whether the stream takes `PIPE_ROOM_BYTES` without waiting; one without a descriptor always does."""
+    try:
+        descriptor = stream.fileno()
+    except (OSError, ValueError):
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return bool(poll.poll(0))
 
 
 def log_text(text: str) -> None:
@@ -58,6 +88,11 @@
     _write(TEXT_KIND, text)
 
 
+def log_exception() -> None:
+    """Logs the exception that is being handled, with its traceback."""
+    _write(EXCEPTION_KIND, traceback.format_exc().rstrip())
+
+
 def log_event(kind: str, **fields: object) -> None:
     """Logs a line `kind name=value ...`. Kinds must be few and fixed: each keeps its own rate limiter."""
     _write(kind, " ".join([kind, *(f"{name}={_format_value(value)}" for name, value in fields.items())]))
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -10,16 +10,14 @@
 import select
 import socket
 import struct
-import sys
 import time
-import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core import steps
 from landingdeal.core.lifecycle import ConnectionState
-from landingdeal.log import log_text
+from landingdeal.log import log_exception, log_text
 from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Framer, FramingError, MalformedMessage, Message, OversizedMessage, encode
 from landingdeal.threads import start_supervised_thread, start_thread
@@ -226,7 +224,7 @@
             reset = self.alive
             self.reset_after_close = self.alive and self.finishing
         except Exception:  # a failing handler must not leave this connection's set-ups unanswered
-            traceback.print_exc(file=sys.stderr)
+            log_exception()
             self._stop_reading("its handler failed")
         finally:
             self.close()
@@ -237,7 +235,7 @@
         try:
             self.on_end(self, reset)
         except Exception:  # the writer must end and the descriptor be freed all the same
-            traceback.print_exc(file=sys.stderr)
+            log_exception()
         with contextlib.suppress(queue.Full):  # full: the writer is busy, and its next send fails
             self.send_queue.put_nowait(None)
         self.sock.close()
--- a/landingdeal/service/main_loop.py
+++ b/landingdeal/service/main_loop.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import sys
 import time
-import traceback
 from collections.abc import Callable
 
 from landingdeal.clock import now_ms, seconds_until
@@ -12,7 +10,7 @@
 from landingdeal.core.events import StopRequested
 from landingdeal.core.lifecycle import Phase
 from landingdeal.errors import ConfigError
-from landingdeal.log import log_event, log_text
+from landingdeal.log import log_event, log_exception, log_text
 from landingdeal.service.signals import Signals
 from landingdeal.threads import START_TIMEOUT_MS, start_thread
 
@@ -28,7 +26,7 @@
         log_text(f"the old configuration is kept: {error}")
     except Exception:
         log_text("the old configuration is kept: the new one could not be applied")
-        traceback.print_exc(file=sys.stderr)
+        log_exception()
 
 
 def run(
--- a/landingdeal/sip/loop.py
+++ b/landingdeal/sip/loop.py
@@ -6,11 +6,10 @@
 import heapq
 import itertools
 import queue
-import sys
-import traceback
 from collections.abc import Callable
 
 from landingdeal.clock import now_ms, seconds_until
+from landingdeal.log import log_exception
 from landingdeal.threads import start_thread
 
 MAX_QUEUED_WORK = 8192  # with more work items queued, received messages are dropped
@@ -58,4 +57,4 @@
         try:
             work()
         except Exception:  # a fault in handling one message must not end all other calls
-            traceback.print_exc(file=sys.stderr)
+            log_exception()
--- a/landingdeal/threads.py
+++ b/landingdeal/threads.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import sys
 import threading
 import time
-import traceback
 from collections.abc import Callable
 
 from landingdeal.clock import now_ms, seconds_until
-from landingdeal.log import log_event
+from landingdeal.log import log_event, log_exception
 
 STACK_BYTES = 256 * 1024
 RETRY_DELAY_MS = 100.0  # before a thread is started, or failed work is run, again
@@ -48,6 +46,6 @@
         work()
     except Exception as error:
         log_event("thread_failed", name=name, error=f"{type(error).__name__} {error}")
-        traceback.print_exc(file=sys.stderr)
+        log_exception()
         return False
     return True
