Tests: a step of a scenario waits for the connection that the system has accepted

Seen once beside other load: 'a release from before a restart reaches a caller' ended with an IndexError in the harness, before anything was sent. Cause: the program is ready once its connects succeed, which the system answers before the harness's thread has accepted; with 0.3 s of delay in that thread the test fails each time in the same way. Change: the step waits for the connection, for the time of any other step. What the scenarios ask of the program is unchanged.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -271,6 +271,14 @@
             TcpConnection(socket.create_connection(("127.0.0.1", self.port)), mailbox)
         return mailbox
 
+    def _newest_connection(self, party: str) -> PeerConnection:
+        """The newest connection of a party; waits for one that the system has accepted already."""
+        mailbox, deadline = self._mailbox(party), time.monotonic() + TIMEOUT_S
+        while not mailbox.connections:
+            assert time.monotonic() < deadline, f"{party} has no connection"
+            time.sleep(0.005)
+        return mailbox.connections[-1]
+
     def _send(self, party: str, method_or_status: str, name: str, *options: str) -> None:
         mailbox, call = self._mailbox(party), call_id(name)
         headers = [(k.lower(), v) for k, v in (m.split(":", 1) for m in options if ":" in m)]
@@ -308,10 +316,10 @@
             body = BODY
         message = request(method_or_status, f"sip:{call}@net", ("via", "SIP/2.0/TCP peer"), ("call-id", call),
                           ("cseq", f"1 {method_or_status}"), *headers, body=body)  # fmt: skip
-        mailbox.connections[-1].put(encode(message))
+        self._newest_connection(party).put(encode(message))
 
     def _raw(self, party: str, *words: str) -> None:
-        self._mailbox(party).connections[-1].put(" ".join(words).encode().decode("unicode_escape").encode())
+        self._newest_connection(party).put(" ".join(words).encode().decode("unicode_escape").encode())
 
     def _expect(self, party: str, expected: str, name: str = "", *options: str) -> None:
         _, message = self._mailbox(party).received.get(timeout=TIMEOUT_S)
