Platform: requests to hubs and messages from hubs get modules of their own

One thing is changed: the thread that connects waits between connects to a removed hub with calls too, as it does for a listed one (Hub.is_needed).

--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -48,6 +48,14 @@
         self.declared_failed = False  # its calls have been released because of its silence
         self.changed = threading.Condition()
 
+    def is_needed(self) -> bool:
+        """Whether a connection is to be kept to it: it is listed, or calls stand there."""
+        return not self.removed or bool(self.port and self.calls.any_stand())
+
+    def note_received(self) -> None:
+        """A message came from the lab hub, on any connection, or a connection to it is up."""
+        self.last_received_ms, self.declared_failed = now_ms(), False
+
     def take_queued(self) -> list[Attempt]:
         """Empties the queue of set-ups and returns it. The caller holds the lock."""
         queued, self.queued = self.queued, []
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -9,23 +9,15 @@
 from badgerstile.interface import AttemptOutcome, Settings
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import (
-    Attempt,
-    AttemptEstablished,
-    AttemptFailed,
-    HubFailed,
-    HubReleased,
-    LoadReported,
-    ProbeCompleted,
-)
+from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, ProbeCompleted
 from landingdeal.log import log_event, log_text
 from landingdeal.net.hub import Hub, PendingProbe
 from landingdeal.net.hub_calls import END_NOTICE_MS, ConnectionEnd
 from landingdeal.net.hub_check import check_hub
+from landingdeal.net.hub_messages import HubMessageHandler
+from landingdeal.net.hub_requests import HubRequests
 from landingdeal.net.link import HubLink, dial
 from landingdeal.net.pending_send import PendingSend
-from landingdeal.sip.headers import load_values, reason_header, rejection_reason, release_cause
-from landingdeal.sip.message import MalformedMessage, Message, request, response
 from landingdeal.threads import start_supervised_thread, start_thread
 
 # of the shortest class target: a lab hub is dialled again if a set-up gets no message back for so long
@@ -35,33 +27,17 @@
 REDIAL_INTERVAL_MS = 250.0  # after a failed connect
 MAX_HUBS = 512  # including those removed less than 7 s ago
 MAX_RECONNECT_MS = 700.0  # a lab hub that accepts again so soon after a reset was not restarted
-# 504: the set-up was interrupted on its way and may have been carried out. A live lab hub sends
-# it, so that it is no sign of a failure
-OUTCOME_BY_STATUS = {
-    503: AttemptOutcome.TURNED_BACK,
-    480: AttemptOutcome.NOT_SENT,
-    504: AttemptOutcome.CANCELLED,
-    408: AttemptOutcome.TIMED_OUT,
-}
-
-
-def is_whole_description(body: bytes) -> bool:
-    """Whether a body is printable lines, the last one complete: damaged bodies are not passed on."""
-    return body.endswith(b"\r\n") and all(32 <= char < 127 or char in b"\t\r\n" for char in body)
-
-
-class MalformedAnswer(Exception):
-    """A lab hub accepted a call with an answer that can't be passed on."""
 
 
 class HubConnections:
     """The connections to all lab hubs. Implements `HubClient` for the core."""
 
     def __init__(self, settings: Settings, inbox: Inbox, local_address: str, dial_timeout_ms: float) -> None:
-        self.settings, self.inbox, self.dial_timeout_ms = settings, inbox, dial_timeout_ms
+        self.inbox, self.dial_timeout_ms = inbox, dial_timeout_ms
         shortest_slo_ms = min(call_class.slo_ms for call_class in settings.classes)
         self.unresponsive_ms = max(shortest_slo_ms * UNRESPONSIVE_SLO_SHARE, MIN_UNRESPONSIVE_MS)
-        self.via = ("via", f"SIP/2.0/TCP {local_address}")
+        self.requests = HubRequests(local_address)
+        self.messages = HubMessageHandler(settings, inbox, self.requests, self._abandon)
         self.lock = threading.Lock()
         self.hubs: dict[bytes, Hub] = {}
         self.probe_number = 0
@@ -138,7 +114,7 @@
             if check.replace:
                 hub.last_suspected_ms = now
                 self._replace_connection(hub, now)
-            self._send_queued_releases(hub)
+            self.requests.send_due_releases(hub)
             hub.recovering = hub.recovering or check.recovery_due
             removable = hub.removed and hub.declared_failed and not hub.keeper_running and not hub.pending
         for pending_probe in check.expired_probes:
@@ -146,7 +122,7 @@
             self.inbox.put(ProbeCompleted(hub.name, False, latency_ms))
         for link in check.unverified:
             # a process that was restarted since then answers with a reset
-            link.send(self._options_request(f"{0:016x}"))
+            link.send(self.requests.options(f"{0:016x}"))
         for link in check.finished:
             link.finish("replaced")
         for link in check.abandoned:
@@ -164,9 +140,6 @@
             with self.lock:
                 self.hubs.pop(hub.name, None)
 
-    def _note_received(self, hub: Hub) -> None:
-        hub.last_received_ms, hub.declared_failed = now_ms(), False
-
     def all_connected(self) -> bool:
         """Whether each lab hub that is not removed has a connection."""
         with self.lock:
@@ -183,7 +156,7 @@
             with hub.changed:
                 while hub.link is not None and hub.link.alive:
                     hub.changed.wait()
-                if hub.removed and not (hub.port and hub.calls.any_stand()):
+                if not hub.is_needed():
                     hub.link, hub.keeper_running = None, False
                     queued = hub.take_queued()
                     failed_before_ms, hub.suspect_reset_ms = hub.suspect_reset_ms, 0.0
@@ -216,7 +189,7 @@
                     # calls. A refused connect after it, or two refused in a row, show that the process ended
                     self.inbox.put(HubFailed(hub.name, failed_before_ms))
                 with hub.changed:
-                    if not hub.removed and not hub.queued:
+                    if hub.is_needed() and not hub.queued:
                         hub.changed.wait(seconds_until(now_ms() + REDIAL_INTERVAL_MS))
                 continue
             self._on_connected(hub, self._new_link(hub, sock))
@@ -228,7 +201,7 @@
     def _new_link(self, hub: Hub, sock: socket.socket) -> HubLink:
         return HubLink(
             sock,
-            lambda on, message: self._on_message(hub, on, message),
+            lambda on, message: self.messages.handle(hub, on, message),
             lambda on, reset: self._on_connection_ended(hub, on, reset),
         )
 
@@ -243,8 +216,8 @@
                 hub.suspect_reset_ms if hub.connected_ms - hub.suspect_reset_ms > MAX_RECONNECT_MS else 0.0
             )
             hub.refused_connects, hub.suspect_reset_ms = 0, 0.0
-            self._note_received(hub)
-            self._send_queued_releases(hub)
+            hub.note_received()
+            self.requests.send_due_releases(hub)
             queued = hub.take_queued()
             undeliverable = [attempt for attempt in queued if not self._send_set_up(hub, link, attempt)]
         self._start_link(hub, link)
@@ -323,7 +296,7 @@
                 hub.link = None
                 hub.changed.notify()
             hub.releases.connection_lost(link.number, now_ms())
-            self._send_queued_releases(hub)
+            self.requests.send_due_releases(hub)
         log_event("hub_connection_given_up", hub=hub.name, link=link.number, why=reason,
                   pending=len(interrupted))  # fmt: skip
         link.finish(reason)
@@ -342,7 +315,7 @@
             hub.changed.notify()
             if reset and not was_replaced:
                 hub.suspect_reset_ms = hub.last_reset_ms = failed_before_ms
-            self._send_queued_releases(hub)
+            self.requests.send_due_releases(hub)
         end_description = (
             "reset" if reset else f"closed: {link.close_reason}" if link.close_reason else "closed"
         )
@@ -427,11 +400,7 @@
         offer = attempt.offer
         if remaining_ms <= 0:
             return True  # the core's own timer ends it
-        message = request(
-            "INVITE", offer.uri, self.via, ("call-id", offer.call_id), ("cseq", "1 INVITE"),
-            ("subject", offer.class_name), ("x-patience", str(remaining_ms)), ("x-facts", offer.facts),
-            body=offer.description,
-        )  # fmt: skip
+        message = self.requests.invite(offer, remaining_ms)
         with hub.changed:  # registered and queued under one lock, so that a CANCEL follows it
             pending_calls = hub.pending.get(link)
             pending_send = PendingSend()
@@ -469,17 +438,9 @@
             if hub.link is not None and waited and hub.link.last_received_ms < attempt.sent_ms:
                 self._replace_connection(hub, now_ms())
             if link is not None and written:
-                call, uri = attempt.offer.call_id, attempt.offer.uri
-                link.send(request("CANCEL", uri, self.via, ("call-id", call), ("cseq", "1 CANCEL")))
+                link.send(self.requests.cancel(attempt.offer))
         return unresponsive
 
-    def _options_request(self, key: str) -> Message:
-        return request("OPTIONS", "sip:load@net", self.via, ("call-id", key), ("cseq", "1 OPTIONS"))
-
-    def _bye_request(self, call: str) -> Message:
-        return request("BYE", "sip:hub@net", self.via, ("call-id", call), ("cseq", "2 BYE"),
-                       reason_header(16))  # fmt: skip
-
     def release(self, name: bytes, call: str) -> None:
         hub = self._find_hub(name)
         if hub is None:
@@ -487,7 +448,7 @@
         with hub.changed:
             hub.calls.call_ended(call)
             hub.releases.queue(call, now_ms())
-            self._send_queued_releases(hub)
+            self.requests.send_due_releases(hub)
 
     def forget(self, name: bytes, call: str) -> None:
         hub = self._find_hub(name)
@@ -496,19 +457,6 @@
         with hub.changed:
             hub.calls.call_ended(call)
 
-    def _send_queued_releases(self, hub: Hub) -> None:
-        """Sends the queued releases if there is a connection. The caller holds the lock."""
-        link = hub.link
-        if link is None or not link.alive or link.finishing:
-            return
-        for call_id, requested_ms in hub.releases.take_due(now_ms()).items():
-            if hub.has_call(call_id):
-                continue  # it was set up there again
-            if link.send(self._bye_request(call_id)):
-                hub.releases.sent(call_id, link.number, requested_ms)
-            else:
-                hub.releases.queue(call_id, requested_ms)
-
     def probe(self, name: bytes, deadline_ms: float) -> None:
         hub = self._find_hub(name)
         if hub is None:
@@ -520,107 +468,4 @@
             hub.pending_probes[key] = PendingProbe(now, deadline_ms)
             link = hub.link
         if link is not None:
-            link.send(self._options_request(key))
-
-    # --- messages from lab hubs ---
-
-    def _on_message(self, hub: Hub, link: HubLink, message: Message | MalformedMessage) -> None:
-        self._note_received(hub)
-        if isinstance(message, MalformedMessage):
-            # after a malformed message, further answers on this connection cannot be relied on
-            self._abandon(hub, link, f"malformed message: {message.problem}")
-            return
-        if message.status:
-            method = message.cseq[1]
-            if method == "INVITE" and message.status >= 200:
-                try:
-                    self._on_final_answer(hub, link, message)
-                except MalformedAnswer as error:
-                    self._abandon(hub, link, str(error))
-            elif method == "OPTIONS" and message.status >= 200:
-                self._on_probe_answer(hub, message)
-            elif method == "BYE" and message.status >= 200:
-                with hub.changed:
-                    hub.releases.confirmed(message.call_id)
-            return
-        match message.method:
-            case "BYE":
-                link.send(response(message, 200))
-                cause = release_cause(message)
-                log_event("hub_released", call=message.call_id, hub=hub.name, cause=cause, link=link.number)
-                with hub.changed:
-                    hub.calls.call_ended(message.call_id)
-                    hub.releases.confirmed(message.call_id)
-                hub_load = load_values(message, self.settings)
-                self.inbox.put(HubReleased(message.call_id, hub.name, cause, hub_load))
-            case "NOTIFY":
-                self.inbox.put(LoadReported(hub.name, load_values(message, self.settings)))
-            case "OPTIONS":
-                link.send(response(message, 200))
-            case _:
-                pass
-
-    def _on_final_answer(self, hub: Hub, link: HubLink, message: Message) -> None:
-        call = message.call_id
-        established = message.status < 300
-        link.last_answer_ms = now_ms()
-        with hub.changed:
-            pending_calls = hub.pending.get(link, {})
-            if call not in pending_calls and call not in hub.cancelled_calls:
-                self._on_unexpected_answer(hub, link, message)
-                return
-            if established and not is_whole_description(message.body):
-                raise MalformedAnswer("an answer without a valid description")
-            attempt = pending_calls.pop(call, None)
-            if attempt is None or hub.cancelled_calls.get(call) == link.number:
-                hub.cancelled_calls.pop(call, None)
-            link.pending_sends.pop(call, None)
-            if established and attempt is not None:
-                hub.calls.call_established(call, link.number)
-        self._acknowledge(link, message, attempt.offer.uri if attempt else "sip:hub@net")
-        if attempt is None:
-            if established:
-                self._release_unwanted(hub, call)
-            return
-        if established:
-            self.inbox.put(AttemptEstablished(attempt, message.body))
-            return
-        ending = OUTCOME_BY_STATUS.get(message.status, AttemptOutcome.ERROR)
-        reason = rejection_reason(message)
-        self.inbox.put(AttemptFailed(attempt, ending, reason, load_values(message, self.settings)))
-
-    def _acknowledge(self, link: HubLink, answer: Message, uri: str) -> None:
-        cseq = ("cseq", f"{answer.cseq[0]} ACK")
-        link.send(request("ACK", uri, self.via, ("call-id", answer.call_id), cseq))
-
-    def _on_unexpected_answer(self, hub: Hub, link: HubLink, message: Message) -> None:
-        """A repeated answer or an unknown id: no call is affected.
-
-        An answer that comes again on another connection shows that its ACK was lost with the first one.
-        """
-        log_event("answer_ignored", call=message.call_id, hub=hub.name, status=message.status)
-        established_on = hub.calls.connection_of(message.call_id)
-        if message.status < 300 and established_on not in (None, link.number):
-            self._acknowledge(link, message, "sip:hub@net")
-
-    def _release_unwanted(self, hub: Hub, call: str) -> None:
-        """Releases a call whose answer crossed our CANCEL, unless it was sent to this lab hub again."""
-        with hub.changed:
-            if not hub.has_call(call):
-                hub.releases.queue(call, now_ms())
-                self._send_queued_releases(hub)
-
-    def _on_probe_answer(self, hub: Hub, message: Message) -> None:
-        with hub.changed:
-            pending_probe = hub.pending_probes.pop(message.call_id, None)
-        if pending_probe is not None:
-            now = now_ms()
-            succeeded = message.status < 300 and now <= pending_probe.deadline_ms
-            self.inbox.put(
-                ProbeCompleted(
-                    hub.name,
-                    succeeded,
-                    max(now - pending_probe.sent_ms, 0.1),
-                    load_values(message, self.settings),
-                )
-            )
+            link.send(self.requests.options(key))
