Platform: a replaced connection on which its hub has nothing to say is probed, not doubted

Seen by reading: a replaced connection that is kept for its calls was taken for lost after 2.5 s without a message, also where the hub only had nothing to write there, and further connections were opened for its calls.

--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -30,7 +30,7 @@
     failed: bool = False  # its calls are to be released
     recovery_due: bool = False  # a further connection is to be opened
     expired_probes: list[PendingProbe] = field(default_factory=list)
-    unverified: list[HubLink] = field(default_factory=list)  # replaced and not probed yet
+    unverified: list[HubLink] = field(default_factory=list)  # replaced, to be probed
     finished: list[HubLink] = field(default_factory=list)  # replaced and not needed any more
     abandoned: list[HubLink] = field(default_factory=list)  # replaced and silent
     overdue: list[HubLink] = field(default_factory=list)  # to be closed at once
@@ -66,11 +66,11 @@
     """
     has_excess = len(hub.pending) >= MAX_CONNECTIONS
     if link.last_received_ms > link.probed_ms > 0:
+        hub.calls.connection_heard(link.number)
         if _is_silent(link, now):
-            hub.calls.connection_silent(link.number, now)
-        else:
-            hub.calls.connection_heard(link.number)
-        if not hub.pending[link] and (has_excess or not hub.calls.has_calls(link.number)):
+            link.probed_ms = now
+            check.unverified.append(link)
+        elif not hub.pending[link] and (has_excess or not hub.calls.has_calls(link.number)):
             check.finished.append(link)
     elif current is not None and not link.probed_ms:
         link.probed_ms, link.replaced_ms = now, hub.connected_ms
--- a/tests/releasing_hub.py
+++ b/tests/releasing_hub.py
@@ -45,6 +45,7 @@
         self.reading = threading.Event()  # what this side writes, and its end, is passed on
         self.passing.set()
         self.reading.set()
+        self.carries_state = True
         self.unsent = b""
         self.received: list[Message] = []
 
@@ -149,7 +150,7 @@
         """Sends its state unasked on the open connections, so that it is not silent."""
         with self.lock:
             for connection in self.open:
-                if connection.passing.is_set():
+                if connection.passing.is_set() and connection.carries_state:
                     connection.write(NOTIFY)
 
     def release(self, call: str) -> None:
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -11,6 +11,7 @@
 from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
 from landingdeal.net import link as link_module
 from landingdeal.net.hub_calls import END_NOTICE_MS
+from landingdeal.net.hub_check import SUSPECT_SILENCE_MS
 from landingdeal.net.hubs import REDIAL_INTERVAL_MS
 from tests.releasing_hub import HUB_NAME, HubConnectionsHarness
 
@@ -87,6 +88,19 @@
     harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS - 250.0)
 
 
+def test_a_replaced_connection_on_which_its_hub_has_nothing_to_say_is_not_taken_for_lost(
+    harness: HubConnectionsHarness,
+) -> None:
+    connection = harness.establish("a")
+    harness.dial_again()
+    harness.pass_time(500.0)
+    connection.carries_state = False
+    harness.pass_time(SUSPECT_SILENCE_MS + 3 * END_NOTICE_MS)
+    assert harness.hub.open == harness.hub.connections and len(harness.hub.open) == 2
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
+
+
 def test_a_call_that_stands_is_not_released_when_its_connection_is_lost(
     harness: HubConnectionsHarness,
 ) -> None:
