Platform: a reset of a replaced connection that lives does not release its hub's calls

Cause: a reset of a replaced connection was taken for the answer of a process that does not know it. That holds for one that was silent ever since it was replaced, not for one on which messages came after that.

--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -65,7 +65,8 @@
     It is kept while calls of it stand: what crosses a close can be lost.
     """
     has_excess = len(hub.pending) >= MAX_CONNECTIONS
-    if link.last_received_ms > link.probed_ms > 0:
+    if link.heard_since_probe:
+        link.outlived_replacement = True
         hub.calls.connection_heard(link.number)
         if _is_silent(link, now):
             link.probed_ms = now
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -324,7 +324,8 @@
         log_event("hub_connection_ended", hub=hub.name, link=link.number, how=end_description,
                   pending=len(interrupted), replaced=was_replaced)  # fmt: skip
         self._report_interrupted(interrupted)
-        if reset and was_replaced and not link.for_recovery:
+        survived = link.for_recovery or link.outlived_replacement or link.heard_since_probe
+        if reset and was_replaced and not survived:
             # it was silent, then reset: the process there now does not know it
             self.inbox.put(HubFailed(hub.name, failed_before_ms))
 
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -370,6 +370,7 @@
         super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
         self.for_recovery = False  # opened so that the lab hub repeats its releases; no set-up is sent here
         self.probed_ms = 0.0  # when OPTIONS was sent here after the connection had been replaced
+        self.outlived_replacement = False  # a message came here after the first of these probes
         self.replaced_ms = 0.0  # when the connection that replaces it came up
         self.first_unanswered_ms = 0.0  # the first set-up sent here since the last received message
         self.last_answer_ms = 0.0  # the last final answer to a set-up
@@ -386,6 +387,11 @@
             self.reader_started = True
         start_thread("writer", self._write, THREAD_START_TIMEOUT_MS)
 
+    @property
+    def heard_since_probe(self) -> bool:
+        """Whether a message came here after the last probe."""
+        return self.last_received_ms > self.probed_ms > 0
+
     def withdraw(self, call: str) -> bool:
         """Withdraws a set-up that still waits to be written; False if it is being or was written."""
         pending_send = self.pending_sends.pop(call, None)
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -101,6 +101,20 @@
     harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
 
 
+def test_a_reset_of_a_replaced_connection_that_lives_releases_no_call(
+    harness: HubConnectionsHarness,
+) -> None:
+    connection = harness.establish("a")
+    harness.dial_again()
+    harness.pass_time(500.0)
+    assert connection in harness.hub.open
+    connection.reset()
+    harness.pass_time(2 * END_NOTICE_MS)
+    assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
+
+
 def test_a_call_that_stands_is_not_released_when_its_connection_is_lost(
     harness: HubConnectionsHarness,
 ) -> None:
