Platform: of the connections kept for their calls only the oldest is closed for room

Seen by reading: at four connections to a hub every replaced one was closed for sending in one check, though one makes room. Change: one at a time, the oldest first; those that are being closed do not count as in use. Measured: the new test fails on the commit before, passes here.

--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -64,7 +64,8 @@
 
     It is kept while calls of it stand: what crosses a close can be lost.
     """
-    has_excess = len(hub.pending) >= MAX_CONNECTIONS
+    in_use = [on for on in hub.pending if not on.finishing and on not in check.finished]
+    has_excess = len(in_use) >= MAX_CONNECTIONS
     if link.heard_since_probe:
         link.outlived_replacement = True
         hub.calls.connection_heard(link.number)
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -11,7 +11,7 @@
 from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
 from landingdeal.net import link as link_module
 from landingdeal.net.hub_calls import END_NOTICE_MS
-from landingdeal.net.hub_check import SUSPECT_SILENCE_MS
+from landingdeal.net.hub_check import MAX_CONNECTIONS, SUSPECT_SILENCE_MS
 from landingdeal.net.hubs import REDIAL_INTERVAL_MS
 from tests.releasing_hub import HUB_NAME, HubConnectionsHarness
 
@@ -115,6 +115,19 @@
     harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
 
 
+def test_replaced_connections_with_calls_are_kept_up_to_the_limit_and_then_the_oldest_is_closed(
+    harness: HubConnectionsHarness,
+) -> None:
+    for call in ("a", "b", "c", "d"):
+        harness.establish(call)
+        harness.dial_again()
+        harness.pass_time(300.0)
+    assert harness.hub.open == harness.hub.connections[-(MAX_CONNECTIONS - 1) :]
+    for call in ("a", "b", "c", "d"):
+        harness.hub.release(call)
+    harness.wait_for(lambda: harness.released() >= {"a", "b", "c", "d"}, PROMPT_RELEASE_LIMIT_MS)
+
+
 def test_a_call_that_stands_is_not_released_when_its_connection_is_lost(
     harness: HubConnectionsHarness,
 ) -> None:
