Platform: only set-ups cancelled shortly before the loss of their connection are released

Seen by reading: after the loss of a connection up to 256 BYEs went out, one for each set-up ever cancelled there without a final answer, also of minutes before. An answer that crossed its CANCEL has come long since, if the connection carried anything. Change: a set-up cancelled more than 10 s before the loss is not released. Measured: the new test passes here and fails with the limit taken out.

--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -12,6 +12,7 @@
 from landingdeal.net.outgoing_releases import OutgoingReleases
 
 MAX_CANCELLED_CALLS = 256  # cancelled set-ups whose answer may cross the CANCEL
+CROSSING_ANSWER_MS = 10_000.0  # after so long an answer that crossed the CANCEL has come, or never will
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,14 @@
     deadline_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CancelledSetUp:
+    """A set-up that was written and then given up, or interrupted by the end of its connection."""
+
+    connection: int
+    cancelled_ms: float
+
+
 class Hub:
     """One lab hub: its address, its connections, the set-ups pending on each and those queued for one.
 
@@ -35,7 +44,7 @@
         self.queued: list[Attempt] = []
         self.calls = HubCalls()
         self.releases = OutgoingReleases()
-        self.cancelled_calls: dict[str, int] = {}  # the connection of their set-up; an answer is released
+        self.cancelled_calls: dict[str, CancelledSetUp] = {}  # an answer to one of them is released
         self.pending_probes: dict[str, PendingProbe] = {}
         self.removed = self.draining = False
         self.keeper_running = False  # its thread keeps it connected
@@ -72,10 +81,18 @@
 
     def note_cancelled(self, call_id: str, link: HubLink) -> None:
         """Remembers a set-up that was written and given up. The caller holds the lock."""
-        self.cancelled_calls[call_id] = link.number
+        self.cancelled_calls[call_id] = CancelledSetUp(link.number, now_ms())
         if len(self.cancelled_calls) > MAX_CANCELLED_CALLS:
             self.cancelled_calls.pop(next(iter(self.cancelled_calls)))
 
+    def lost_answers(self, connection: int, now: float) -> list[str]:
+        """The cancelled set-ups of a lost connection whose answer it may have carried."""
+        return [
+            call_id
+            for call_id, cancelled in self.cancelled_calls.items()
+            if cancelled.connection == connection and now - cancelled.cancelled_ms < CROSSING_ANSWER_MS
+        ]
+
     def has_call(self, call_id: str) -> bool:
         """Whether the call is established or pending at this lab hub. The caller holds the lock."""
         return self.calls.stands(call_id) or any(call_id in calls for calls in self.pending.values())
--- a/landingdeal/net/hub_messages.py
+++ b/landingdeal/net/hub_messages.py
@@ -104,8 +104,9 @@
             if established and not is_whole_description(message.body):
                 raise MalformedAnswer("an answer without a valid description")
             attempt = pending_calls.pop(call, None)
-            if attempt is None or hub.cancelled_calls.get(call) == link.number:
-                hub.cancelled_calls.pop(call, None)
+            cancelled = hub.cancelled_calls.get(call)
+            if cancelled is not None and (attempt is None or cancelled.connection == link.number):
+                del hub.cancelled_calls[call]
             link.pending_sends.pop(call, None)
             if established and attempt is not None:
                 hub.calls.call_established(call, link.number)
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -351,9 +351,8 @@
             if not link.withdraw(call_id):
                 hub.note_cancelled(call_id, link)
         if not link.closed_by_peer:
-            for call_id, connection in hub.cancelled_calls.items():
-                if connection == link.number:
-                    hub.releases.queue(call_id, now, now + END_NOTICE_MS)
+            for call_id in hub.lost_answers(link.number, now):
+                hub.releases.queue(call_id, now, now + END_NOTICE_MS)
         return list(pending.values())
 
     def _report_interrupted(self, interrupted: list[Attempt]) -> None:
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -9,6 +9,7 @@
 
 from badgerstile.interface import AttemptOutcome
 from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
+from landingdeal.net import hub as hub_module
 from landingdeal.net import link as link_module
 from landingdeal.net.hub_calls import END_NOTICE_MS
 from landingdeal.net.hub_check import MAX_CONNECTIONS, SUSPECT_SILENCE_MS
@@ -204,6 +205,19 @@
     harness.wait_for(lambda: connection.received_methods("a") == ["BYE"])
 
 
+def test_a_set_up_that_was_cancelled_long_before_its_connection_was_lost_is_not_released(
+    harness: HubConnectionsHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(hub_module, "CROSSING_ANSWER_MS", 100.0)
+    harness.hub.answers = False
+    harness.hubs.cancel(harness.set_up("a"))
+    harness.pass_time(300.0)
+    harness.hub.connections[0].reset()
+    harness.wait_for_connection(1)
+    harness.pass_time(3 * END_NOTICE_MS)
+    assert not any(on.received_methods("a") for on in harness.hub.connections[1:])
+
+
 def test_a_call_that_is_set_up_again_at_its_hub_is_not_released_for_its_first_attempt(
     harness: HubConnectionsHarness,
 ) -> None:
