Tests: a soak's hub that is cut off reads no set-up that was sent before the cut was whole

Cause: the hub of the soak, not the front. `cut` ended all connections first and filled the accept queue then. The front dials again at the end of its connection; one that came up in between lay in the accept queue, with the set-ups written there, until the hub was healed, and they were read then, after their callers had been refused.

The front may not withdraw bytes that the system has taken; a send counts from its first byte.

Change: the queue is filled first, and a connection that has its place is reset unread: connections do not come up, as the class says. The accepting thread no longer spins while the hub is cut off. The soak's check is unchanged.

--- a/tests/rig/sip_peers.py
+++ b/tests/rig/sip_peers.py
@@ -20,6 +20,8 @@
 from landingdeal.sip.message import Framer, Message, encode, request, response
 
 Send = Callable[[Message], None]
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger
+POLL_S = 0.02
 RETRANSMIT_S = (0.05, 0.1, 0.2, 0.4, 0.4, 0.4)  # of a 2xx that has no ACK
 
 
@@ -54,7 +56,7 @@
         self.alive = False
         with suppress(OSError):
             if reset:
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             self.sock.shutdown(socket.SHUT_RD if reset else socket.SHUT_RDWR)
         self.sock.close()
 
@@ -67,15 +69,23 @@
         self.server = socket.create_server(("127.0.0.1", 0))
         self.port: int = self.server.getsockname()[1]
         self.cut_off = self.closed = False
+        self.accepting = threading.Lock()
         self.fillers: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
         with suppress(OSError, ValueError):
             while not self.closed:
-                ready, _, _ = select.select([self.server], [], [], 0.02)
-                if ready and not self.cut_off:
-                    Connection(self.server.accept()[0], self)
+                select.select([self.server], [], [], POLL_S)
+                with self.accepting:
+                    if not self.cut_off and self._has_waiting():
+                        Connection(self.server.accept()[0], self)
+                if self.cut_off:
+                    time.sleep(POLL_S)
+
+    def _has_waiting(self) -> bool:
+        """Whether a connection waits in the accept queue."""
+        return bool(select.select([self.server], [], [], 0)[0])
 
     def on_message(self, message: Message, connection: Connection) -> None:
         raise NotImplementedError
@@ -86,16 +96,31 @@
         self.connections.clear()
 
     def cut(self) -> None:
-        """Ends all connections and fills the accept queue."""
-        self.cut_off = True
+        """Ends all connections and fills the accept queue; what came up meanwhile is reset unread."""
+        with self.accepting:
+            self.cut_off = True
+        self.server.listen(0)  # the accept queue takes one connection
+        while not self._fill_accept_queue():
+            self._reset_accept_queue()
         self.end_connections(reset=True)
-        self.server.listen(0)
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            with suppress(BlockingIOError):
-                filler.connect(("127.0.0.1", self.port))
-            self.fillers.append(filler)
+
+    def _fill_accept_queue(self) -> bool:
+        """Takes the free place of the accept queue; False if another connection has it."""
+        filler = socket.socket()
+        filler.settimeout(POLL_S)
+        try:
+            filler.connect(("127.0.0.1", self.port))
+        except TimeoutError:
+            filler.close()
+            return False
+        self.fillers.append(filler)
+        return True
+
+    def _reset_accept_queue(self) -> None:
+        while self._has_waiting():
+            sock, _ = self.server.accept()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            sock.close()
 
     def heal(self) -> None:
         for filler in self.fillers:
