Platform: the end of a silent hub connection does not put off a recovery that is already due

What callers could see: a release later than 1 s. A connection that is silent at 0 ms and ends at 450 ms had its first recovery connection at 950 ms in place of 500 ms, and each further loss put it off once more.

Cause: HubCalls._add_unsettled set the time of the next recovery anew at each loss. Now the earlier of the two times stands; that one more connection follows the end, once the hub must have seen it, is decided by `followed` as before.

--- a/landingdeal/net/hub_calls.py
+++ b/landingdeal/net/hub_calls.py
@@ -125,9 +125,10 @@
         return end is ConnectionEnd.LOST
 
     def _add_unsettled(self, connection: int, unsettled: UnsettledConnection, now: float) -> None:
-        self._unsettled[connection] = unsettled
+        due_ms = now + RECOVERY_INTERVALS_MS[0]
+        self._recovery_due_ms = min(self._recovery_due_ms, due_ms) if self._unsettled else due_ms
         self._recovery_count = 0
-        self._recovery_due_ms = now + RECOVERY_INTERVALS_MS[0]
+        self._unsettled[connection] = unsettled
 
     # --- recovery ---
 
