Platform: a hub that resets each recovery connection is connected at growing intervals

What could happen: a hub that accepts no further connection and answers each with a reset was connected twice a second, for as long as any call stood there, which is always under traffic. Connections at lab hubs are scarce.

Cause: the loss of a recovery connection counted as a new loss and began the intervals again at 0.5 s. It is still followed by another connection, as what the hub repeated there may be lost, but the intervals go on growing. Only the loss of another connection begins them again.

Evidence: the new test failed before, with openings 0.5 s apart after 30 s; found by reading.

--- a/landingdeal/net/hub_calls.py
+++ b/landingdeal/net/hub_calls.py
@@ -48,8 +48,9 @@
     def __init__(self) -> None:
         self._connections: dict[str, int] = {}  # of the set-up, by call
         self._open: set[int] = set()
+        self._opened_for_recovery: set[int] = set()
         self._unsettled: dict[int, UnsettledConnection] = {}
-        self._recovery_count = 0  # connections opened since the last loss
+        self._recovery_count = 0  # connections opened since the last loss of another one
         self._recovery_due_ms = 0.0
 
     # --- calls ---
@@ -99,6 +100,11 @@
             self._recovery_count += 1
             self._recovery_due_ms = dialled_ms + RECOVERY_INTERVALS_MS[step]
 
+    def recovery_opened(self, connection: int, dialled_ms: float) -> None:
+        """A connection is up that was opened only so that the lab hub repeats releases on it."""
+        self._opened_for_recovery.add(connection)
+        self.connection_opened(connection, dialled_ms)
+
     def connection_silent(self, connection: int, now: float) -> None:
         """The connection is open but passes nothing on, as far as can be seen."""
         if connection in self._open and connection not in self._unsettled:
@@ -118,6 +124,7 @@
         self._open.discard(connection)
         if connection in self._unsettled or self._may_lose_releases(connection, end):
             self._add_unsettled(connection, UnsettledConnection(now, end), now)
+        self._opened_for_recovery.discard(connection)
 
     def _may_lose_releases(self, connection: int, end: ConnectionEnd) -> bool:
         if end is ConnectionEnd.ENDED_BY_HUB:
@@ -126,8 +133,10 @@
 
     def _add_unsettled(self, connection: int, unsettled: UnsettledConnection, now: float) -> None:
         due_ms = now + RECOVERY_INTERVALS_MS[0]
-        self._recovery_due_ms = min(self._recovery_due_ms, due_ms) if self._unsettled else due_ms
-        self._recovery_count = 0
+        if not self._unsettled:
+            self._recovery_count, self._recovery_due_ms = 0, due_ms
+        elif connection not in self._opened_for_recovery:
+            self._recovery_count, self._recovery_due_ms = 0, min(self._recovery_due_ms, due_ms)
         self._unsettled[connection] = unsettled
 
     # --- recovery ---
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -270,7 +270,7 @@
             hub.recovering = False
             hub.pending[link] = {}
             in_doubt = hub.calls.in_doubt()
-            hub.calls.connection_opened(link.number, dialled_ms)
+            hub.calls.recovery_opened(link.number, dialled_ms)
         log_event("hub_recovery", hub=hub.name, link=link.number, calls=len(in_doubt))
         self._start_link(hub, link)
 
--- a/tests/test_hub_calls.py
+++ b/tests/test_hub_calls.py
@@ -23,14 +23,19 @@
     return calls
 
 
-def openings(calls: HubCalls, until_ms: float, first_number: int = 100) -> list[float]:
-    """Opens a connection whenever one is due, and closes it in good order; returns the times."""
+def openings(
+    calls: HubCalls,
+    until_ms: float,
+    first_number: int = 100,
+    end: ConnectionEnd = ConnectionEnd.CLOSED_BY_HUB,
+) -> list[float]:
+    """Opens a connection whenever one is due and ends it, in good order by default; returns the times."""
     times: list[float] = []
     for now in range(0, int(until_ms), 100):
         if calls.recovery_due(now):
             number = first_number + len(times)
-            calls.connection_opened(number, now)
-            calls.connection_ended(number, now + 50, ConnectionEnd.CLOSED_BY_HUB)
+            calls.recovery_opened(number, now)
+            calls.connection_ended(number, now + 50, end)
             times.append(float(now))
     return times
 
@@ -105,6 +110,16 @@
     assert calls.recovery_due(1500.0 + RECOVERY_RETRY_MS)
 
 
+def test_a_hub_that_resets_each_recovery_connection_is_connected_at_growing_intervals() -> None:
+    calls = calls_on(1, "a")
+    calls.connection_opened(2, 100.0)
+    calls.call_established("b", 2)
+    calls.connection_ended(1, 200.0, ConnectionEnd.LOST)
+    calls.call_ended("a")
+    times = openings(calls, 30_000, end=ConnectionEnd.LOST)
+    assert times[-1] - times[-2] >= RECOVERY_INTERVALS_MS[-1]
+
+
 @pytest.mark.parametrize(("call_connection", "followed"), [(1, True), (2, False)])
 def test_a_reset_that_answers_our_close_is_followed_only_if_calls_were_set_up_there(
     call_connection: int, followed: bool
