Platform: a recovery connection that fails unexpectedly is tried again

What could happen: a recovery that failed by anything but an OSError, such as a host name in the list that can't be encoded, ended its thread with Hub.recovering still set. No recovery was begun for that lab hub from then on, and the releases of its calls in doubt were lost.

Change: any failure of the dialling counts as a failed recovery, which is logged with its type and tried again after a second. Found by reading.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -259,8 +259,8 @@
         dialled_ms = now_ms()
         try:
             sock = dial(hub.host, hub.port, dialled_ms + self.dial_timeout_ms)
-        except OSError as error:
-            log_event("hub_recovery_failed", hub=hub.name, error=error)
+        except Exception as error:  # whatever it is, the calls in doubt need another one
+            log_event("hub_recovery_failed", hub=hub.name, error=f"{type(error).__name__} {error}")
             self._recovery_failed(hub)
             return
         link = self._new_link(hub, sock)
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 from collections.abc import Iterator
 
@@ -11,6 +12,7 @@
 from landingdeal.clock import now_ms
 from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
 from landingdeal.net import hub as hub_module
+from landingdeal.net import hubs as hubs_module
 from landingdeal.net import link as link_module
 from landingdeal.net.hub_calls import END_NOTICE_MS
 from landingdeal.net.hub_check import MAX_CONNECTIONS, SUSPECT_SILENCE_MS
@@ -160,6 +162,24 @@
     assert max(released_ms[call] - ended_ms[call] for call in calls) < PROMPT_RELEASE_LIMIT_MS
 
 
+def test_a_recovery_that_fails_unexpectedly_is_tried_again(
+    harness: HubConnectionsHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    failures = iter([UnicodeError("a host name that can't be encoded")])
+
+    def failing_dial(host: str, port: int, deadline_ms: float) -> socket.socket:
+        if threading.current_thread().name == "recovery" and (error := next(failures, None)):
+            raise error
+        return link_module.dial(host, port, deadline_ms)
+
+    monkeypatch.setattr(hubs_module, "dial", failing_dial)
+    harness.establish("a")
+    harness.replace_current()
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
+    assert next(failures, None) is None
+
+
 def test_a_call_that_stands_is_not_released_when_its_connection_is_lost(
     harness: HubConnectionsHarness,
 ) -> None:
