Tests: the harness of lost hub connections leaves no thread behind and fails with short messages

The harness now forgets the calls before it removes the lab hub. A failed wait printed every load report, 3 MB of text; it names the other events now.

--- a/tests/releasing_hub.py
+++ b/tests/releasing_hub.py
@@ -16,7 +16,7 @@
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import Attempt, AttemptEstablished, CoreEvent, HubReleased, Offer
+from landingdeal.core.events import Attempt, AttemptEstablished, CoreEvent, HubReleased, LoadReported, Offer
 from landingdeal.net.hub import Hub
 from landingdeal.net.hubs import HubConnections
 from landingdeal.net.transaction import CallerTransaction
@@ -191,7 +191,7 @@
     def wait_for(self, condition: Callable[[], bool], within_ms: float = WAIT_MS) -> None:
         until = now_ms() + within_ms
         while not condition():
-            assert now_ms() < until, f"not in time; events: {self.events}"
+            assert now_ms() < until, f"not in time; events: {self.events_of_calls()}"
             self.pass_time(10.0)
 
     def pass_time(self, duration_ms: float) -> None:
@@ -222,6 +222,10 @@
         self.wait_for(lambda: AttemptEstablished(attempt, BODY) in self.events)
         return self.hub.call_connections[call]
 
+    def events_of_calls(self) -> list[CoreEvent]:
+        """The events so far without the reports of the lab hub's state."""
+        return [event for event in self.events if not isinstance(event, LoadReported)]
+
     def released(self) -> set[str]:
         """The calls whose release by the lab hub has reached the core."""
         return {event.call_id for event in self.events if isinstance(event, HubReleased)}
@@ -247,5 +251,8 @@
         return self.hub.connections[-1]
 
     def end(self) -> None:
-        self.hubs.update_hub(HUB_NAME, "", True)  # ends the thread that keeps it connected
+        """Removes the lab hub, whose keeper thread ends once no call stands there."""
+        for call in list(self.hub.call_connections):
+            self.hubs.forget(HUB_NAME, call)
+        self.hubs.update_hub(HUB_NAME, "", True)
         self.hub.end()
