Log: releases to a hub that are dropped for want of room leave a line

More than 2,000 releases that wait for one lab hub, or are not confirmed by it, were dropped silently, and their calls may stand on there. They are counted now, and the regular check logs how many.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -114,8 +114,11 @@
                 hub.last_suspected_ms = now
                 self._replace_connection(hub, now)
             self.requests.send_due_releases(hub)
+            dropped_releases = hub.releases.take_dropped_count()
             hub.recovering = hub.recovering or check.recovery_due
             removable = hub.removed and hub.declared_failed and not hub.keeper_running and not hub.pending
+        if dropped_releases:
+            log_event("hub_releases_dropped", hub=hub.name, count=dropped_releases)
         for pending_probe in check.expired_probes:
             latency_ms = pending_probe.deadline_ms - pending_probe.sent_ms
             self.inbox.put(ProbeCompleted(hub.name, False, latency_ms))
--- a/landingdeal/net/outgoing_releases.py
+++ b/landingdeal/net/outgoing_releases.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 RETRANSMISSION_TIME_MS = 32_000.0  # 64 T1, T1 being 500 ms
-MAX_RELEASES = 2000  # queued and unconfirmed, each; the oldest unconfirmed ones are forgotten
+MAX_RELEASES = 2000  # queued and unconfirmed, each; the oldest unconfirmed ones are dropped
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,11 +37,22 @@
     def __init__(self) -> None:
         self._queued: dict[str, QueuedRelease] = {}
         self._sent: dict[str, SentRelease] = {}
+        self._dropped_count = 0
 
     def queue(self, call_id: str, requested_ms: float, not_before_ms: float = 0.0) -> None:
-        """Keeps a release until there is a connection, and at least until `not_before_ms`."""
-        if len(self._queued) < MAX_RELEASES:
-            self._queued[call_id] = QueuedRelease(requested_ms, not_before_ms)
+        """Keeps a release until there is a connection, and at least until `not_before_ms`.
+
+        Without room it is dropped and counted.
+        """
+        if len(self._queued) >= MAX_RELEASES:
+            self._dropped_count += 1
+            return
+        self._queued[call_id] = QueuedRelease(requested_ms, not_before_ms)
+
+    def take_dropped_count(self) -> int:
+        """How many releases were dropped since the last call; their calls may stand on at the lab hub."""
+        count, self._dropped_count = self._dropped_count, 0
+        return count
 
     def take_due(self, now: float) -> dict[str, float]:
         """Takes the releases that are due; returns their calls and when each was requested."""
@@ -59,6 +70,7 @@
         self._sent[call_id] = SentRelease(connection, requested_ms)
         if len(self._sent) > MAX_RELEASES:
             self._sent.pop(next(iter(self._sent)))
+            self._dropped_count += 1
 
     def confirmed(self, call_id: str) -> None:
         """The lab hub has responded, has released the call itself, or gets its set-up again."""
