Platform: releases come within a second for as long as a hub connection is open and silent

What callers saw: when one connection to a sound hub was silent for longer than some 3 s, calls of it that the hub released were told up to 4 s later.

Cause: the intervals between recovery connections grew to 2 and 4 s although the hub went on writing there.

Change: while a connection is open and silent the interval is 0.7 s at the most.

--- a/landingdeal/net/hub_calls.py
+++ b/landingdeal/net/hub_calls.py
@@ -15,10 +15,12 @@
 from enum import Enum
 
 # From one connection to the next while calls are in doubt; the last one repeats. Callers must be notified
-# within 1 s of a release that was sent: the first ones allow for that while a connection is silent or its
-# end is being noticed. The last one allows, with a connect that fails twice, for the 8 s from an end whose
-# release could not be sent (PROTOCOL, "The rules on sockets").
+# within 1 s of a release that was sent: the first ones allow for that while the end of a connection is being
+# noticed. The last one allows, with a connect that fails twice, for the 8 s from an end whose release could
+# not be sent (PROTOCOL, "The rules on sockets").
 RECOVERY_INTERVALS_MS = (500.0, 700.0, 700.0, 700.0, 2000.0, 4000.0)
+# At the most, while a connection is open and silent: the lab hub goes on sending releases there.
+SILENT_RECOVERY_INTERVAL_MS = 700.0
 RECOVERY_RETRY_MS = 1000.0  # after a connect that failed
 # The lab hub sees the end of a connection later than this side: what it released until then is repeated only
 # on a connection opened after so long.
@@ -41,6 +43,11 @@
     end: ConnectionEnd = ConnectionEnd.LOST
     followed: bool = False  # a connection was opened after the lab hub must have seen the end
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it has not ended: it is silent."""
+        return self.ended_ms == float("inf")
+
 
 class HubCalls:
     """The established calls of one lab hub by the connection of their set-up; when to recover releases."""
@@ -96,9 +103,8 @@
         for unsettled in self._unsettled.values():
             unsettled.followed = unsettled.followed or dialled_ms >= unsettled.ended_ms + END_NOTICE_MS
         if self._unsettled:
-            step = min(self._recovery_count, len(RECOVERY_INTERVALS_MS) - 1)
+            self._recovery_due_ms = dialled_ms + self._recovery_interval_ms()
             self._recovery_count += 1
-            self._recovery_due_ms = dialled_ms + RECOVERY_INTERVALS_MS[step]
 
     def recovery_opened(self, connection: int, dialled_ms: float) -> None:
         """A connection is up that was opened only so that the lab hub repeats releases on it."""
@@ -141,6 +147,13 @@
 
     # --- recovery ---
 
+    def _recovery_interval_ms(self) -> float:
+        """From the connection that was just opened to the next one."""
+        interval_ms = RECOVERY_INTERVALS_MS[min(self._recovery_count, len(RECOVERY_INTERVALS_MS) - 1)]
+        if any(unsettled.is_open for unsettled in self._unsettled.values()):
+            return min(interval_ms, SILENT_RECOVERY_INTERVAL_MS)
+        return interval_ms
+
     def recovery_failed(self, now: float) -> None:
         """A further connection could not be opened."""
         self._recovery_due_ms = now + RECOVERY_RETRY_MS
--- a/tests/test_hub_calls.py
+++ b/tests/test_hub_calls.py
@@ -11,7 +11,9 @@
     ConnectionEnd,
     HubCalls,
 )
+from landingdeal.net.hubs import CHECK_INTERVAL_MS
 
+PROMPT_LIMIT_MS = 1000.0  # from a release by the lab hub to the notification of its caller
 LIMIT_MS = 8000.0  # from the end of a call to the notification of its caller
 
 
@@ -82,6 +84,17 @@
     assert second >= RECOVERY_INTERVALS_MS[0] - 50.0 + END_NOTICE_MS
 
 
+def test_connections_are_opened_for_releases_within_a_second_for_as_long_as_a_connection_is_silent() -> None:
+    calls = calls_on(1, "a")
+    calls.connection_silent(1, 0.0)
+    times = openings(calls, 12_000)
+    gaps = [later - earlier for earlier, later in zip([0.0, *times], [*times, 12_000.0], strict=True)]
+    assert max(gaps) <= PROMPT_LIMIT_MS - CHECK_INTERVAL_MS
+    calls.connection_ended(1, 12_000.0, ConnectionEnd.LOST)
+    late_times = openings(calls, 120_000, 1000)
+    assert late_times[-1] - late_times[-2] >= RECOVERY_INTERVALS_MS[-1], "fewer once it has ended"
+
+
 def test_calls_on_a_sound_connection_are_not_in_doubt_when_another_one_is_lost() -> None:
     calls = calls_on(1, "a")
     calls.connection_opened(2, 100.0)
