Platform: set-ups answered on a silent hub connection are released when it is given up

What could happen: one direction of a hub connection falls silent. The hub has read a set-up there and accepts it into the void; the call stands at the hub, and takes a circuit, for its whole length, with no caller.

Cause: what unanswered set-ups may have become was released only at the end of their connection, and not if the hub closes it in good order. A silent connection has no end in time: it is read for 10 s after it was given up, just as long as its cancelled set-ups are remembered, and a close of it does not show that all was read.

Change: the releases are queued when a silent connection is given up, as at a loss: half a second later, and not for a call that was set up at that hub again.

Evidence: the new test failed before (no BYE at the hub). Found by reading.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -128,9 +128,7 @@
         for link in check.finished:
             link.finish("replaced")
         for link in check.abandoned:
-            with hub.changed:
-                hub.calls.connection_silent(link.number, now)
-            self._abandon(hub, link, "replaced and silent")
+            self._abandon_silent(hub, link, now)
         for link in check.overdue:
             link.close_with_reason("not closed by its lab hub, which is removed and silent, or in time")
         if check.recovery_due:
@@ -304,6 +302,20 @@
         link.finish(reason)
         self._report_interrupted(interrupted)
 
+    def _abandon_silent(self, hub: Hub, link: HubLink, now: float) -> None:
+        """Gives up a silent connection: what the lab hub has written there need not arrive, nor its close."""
+        with hub.changed:
+            hub.calls.connection_silent(link.number, now)
+        self._abandon(hub, link, "replaced and silent")
+        with hub.changed:
+            self._release_lost_answers(hub, link, now)
+
+    @staticmethod
+    def _release_lost_answers(hub: Hub, link: HubLink, now: float) -> None:
+        """Releases what its unanswered set-ups may have become. The caller holds the lock."""
+        for call_id in hub.lost_answers(link.number, now):
+            hub.releases.queue(call_id, now, now + END_NOTICE_MS)
+
     def _on_connection_ended(self, hub: Hub, link: HubLink, reset: bool) -> None:
         with hub.changed:
             failed_before_ms = now_ms()
@@ -354,8 +366,7 @@
             if not link.withdraw(call_id):
                 hub.note_cancelled(call_id, link)
         if not link.closed_by_peer:
-            for call_id in hub.lost_answers(link.number, now):
-                hub.releases.queue(call_id, now, now + END_NOTICE_MS)
+            self._release_lost_answers(hub, link, now)
         return list(pending.values())
 
     def _report_interrupted(self, interrupted: list[Attempt]) -> None:
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -256,6 +256,17 @@
     harness.wait_for(lambda: connection.received_methods("a") == ["BYE"])
 
 
+def test_a_call_whose_answer_was_written_to_a_silent_connection_is_released_at_its_hub(
+    harness: HubConnectionsHarness,
+) -> None:
+    """The lab hub reads there and writes there, but nothing of it arrives, its close neither."""
+    harness.hub.connections[0].passing.clear()
+    attempt = harness.set_up("a")
+    connection = harness.dial_again()
+    harness.wait_for(lambda: AttemptFailed(attempt, AttemptOutcome.CANCELLED) in harness.events)
+    harness.wait_for(lambda: connection.received_methods("a") == ["BYE"], 2 * END_NOTICE_MS)
+
+
 def test_a_set_up_that_was_cancelled_long_before_its_connection_was_lost_is_not_released(
     harness: HubConnectionsHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
