Platform: a slow connect after a reset cuts no call of a hub that is heard meanwhile

What callers saw: the current connection to a hub is reset, and the next connect takes over 0.7 s (a lost SYN, a crowded hub): all earlier calls of the hub were released towards their callers, although the hub went on sending on another connection that is kept for its calls.

Cause: the time of the connect alone was taken for a restart. Now the rule of a replaced connection counts here too: a restart needs a silence of 0.7 s on all connections (Hub.may_have_restarted_since). With a single connection nothing changes: that the process lives can't be known there.

Evidence: the new test failed before, with HubFailed at the connect.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -11,7 +11,7 @@
 from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, ProbeCompleted
 from landingdeal.log import log_event, log_text
-from landingdeal.net.hub import MIN_RESTART_MS, Hub, PendingProbe
+from landingdeal.net.hub import Hub, PendingProbe
 from landingdeal.net.hub_calls import END_NOTICE_MS, ConnectionEnd
 from landingdeal.net.hub_check import check_hub
 from landingdeal.net.hub_messages import HubMessageHandler
@@ -212,16 +212,15 @@
             hub.pending[link] = {}
             hub.calls.connection_opened(link.number, link.opened_ms)
             hub.connected_ms = now_ms()
-            failed_before_ms = (
-                hub.suspect_reset_ms if hub.connected_ms - hub.suspect_reset_ms > MIN_RESTART_MS else 0.0
-            )
+            restarted = hub.may_have_restarted_since(hub.suspect_reset_ms, hub.connected_ms)
+            failed_before_ms = hub.suspect_reset_ms if restarted else 0.0
             hub.refused_connects, hub.suspect_reset_ms = 0, 0.0
             hub.note_received()
             self.requests.send_due_releases(hub)
             queued = hub.take_queued()
             undeliverable = [attempt for attempt in queued if not self._send_set_up(hub, link, attempt)]
         self._start_link(hub, link)
-        if failed_before_ms:  # so long after the reset it is a new process
+        if failed_before_ms:
             self.inbox.put(HubFailed(hub.name, failed_before_ms))
         log_event("hub_connected", hub=hub.name, link=link.number)
         for attempt in undeliverable:
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -14,6 +15,7 @@
 from landingdeal.net import hub as hub_module
 from landingdeal.net import hubs as hubs_module
 from landingdeal.net import link as link_module
+from landingdeal.net.hub import MIN_RESTART_MS
 from landingdeal.net.hub_calls import END_NOTICE_MS
 from landingdeal.net.hub_check import MAX_CONNECTIONS, SUSPECT_SILENCE_MS
 from landingdeal.net.hubs import REDIAL_INTERVAL_MS
@@ -132,6 +134,24 @@
     harness.wait_for(lambda: "a" in harness.released(), RELEASE_LIMIT_MS)
 
 
+def test_a_slow_connect_after_a_reset_releases_no_call_of_a_hub_that_is_heard_meanwhile(
+    harness: HubConnectionsHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    harness.establish("a")
+    current = harness.dial_again()
+    harness.pass_time(500.0)
+
+    def slow_dial(host: str, port: int, deadline_ms: float) -> socket.socket:
+        time.sleep((MIN_RESTART_MS + 100.0) / 1000)
+        return link_module.dial(host, port, deadline_ms + MIN_RESTART_MS)
+
+    monkeypatch.setattr(hubs_module, "dial", slow_dial)
+    current.reset()
+    harness.wait_for_connection(2)
+    harness.pass_time(END_NOTICE_MS)
+    assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
+
+
 def test_replaced_connections_with_calls_are_kept_up_to_the_limit_and_then_the_oldest_is_closed(
     harness: HubConnectionsHarness,
 ) -> None:
