Platform: the removal of a hub that is heard after a reset cuts no call

What callers saw: a hub connection is reset, the hub lives and is connected again; when the list removes that hub later (a drain, or a late list), all calls set up before the reset were released at once, while they stood there.

Cause: update_hub took the last reset, however old, for the end of the hub's process once the list had removed it. Now it counts only if the hub may have been restarted since: after a silence of 0.7 s on all connections, or during one. A hub that has really gone is found as before: by the next connect, which is refused or times out, by 7 s of silence, or by the new hub at its address.

Evidence: the new test failed before, with HubFailed at the removal.

--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -60,7 +60,8 @@
         for replaced_hub in hubs_at_address:
             self._remove_replaced(replaced_hub)
         with hub.changed:
-            failed_before_ms = hub.last_reset_ms if removed else 0.0
+            restarted = hub.may_have_restarted_since(hub.last_reset_ms, now_ms())
+            failed_before_ms = hub.last_reset_ms if removed and restarted else 0.0
             if address:
                 hub.host, hub.port = host, int(port)
             hub.removed = removed
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -152,6 +152,18 @@
     assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
 
 
+def test_the_removal_of_a_hub_that_is_heard_after_a_reset_releases_no_call(
+    harness: HubConnectionsHarness,
+) -> None:
+    """The list may be late: the reset was not the end of its process."""
+    harness.establish("a").reset()
+    harness.wait_for_connection(1)
+    harness.pass_time(MIN_RESTART_MS + 100.0)
+    harness.hubs.update_hub(HUB_NAME, harness.hub.address, True)
+    harness.pass_time(END_NOTICE_MS)
+    assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
+
+
 def test_replaced_connections_with_calls_are_kept_up_to_the_limit_and_then_the_oldest_is_closed(
     harness: HubConnectionsHarness,
 ) -> None:
