--- a/landingdeal/net/hub_requests.py
+++ b/landingdeal/net/hub_requests.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from landingdeal.clock import now_ms
-from landingdeal.core.events import Offer
+from landingdeal.core.events import Attempt, Offer
 from landingdeal.net.hub import Hub
+from landingdeal.net.link import HubLink
+from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.headers import reason_header
 from landingdeal.sip.message import Message, request
 
@@ -45,6 +47,25 @@
         """Asks for the load; the answer has the same `key` as its Call-ID."""
         return request("OPTIONS", LOAD_URI, self.via, ("call-id", key), ("cseq", "1 OPTIONS"))
 
+    def send_set_up(self, hub: Hub, link: HubLink, attempt: Attempt) -> bool:
+        """Sends the INVITE of an attempt; False if it was not sent and its end has still to be reported."""
+        remaining_ms = int(attempt.deadline_ms - now_ms())
+        offer = attempt.offer
+        if remaining_ms <= 0:
+            return True  # the core's own timer ends it
+        message = self.invite(offer, remaining_ms)
+        with hub.changed:  # registered and queued under one lock, so that a CANCEL follows it
+            pending_calls = hub.pending.get(link)
+            pending_send = PendingSend()
+            if pending_calls is None or not link.send(message, still_wanted=pending_send.claim):
+                return False
+            pending_calls[offer.call_id] = attempt
+            hub.releases.confirmed(offer.call_id)  # a release sent again would end this set-up's call
+            link.pending_sends[offer.call_id] = pending_send
+            if link.first_unanswered_ms <= link.last_received_ms:
+                link.first_unanswered_ms = now_ms()
+        return True
+
     def send_due_releases(self, hub: Hub) -> None:
         """Sends the releases that are due if there is a connection. The caller holds the lock of the hub."""
         link = hub.link
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -13,12 +13,12 @@
 from landingdeal.clock import now_ms
 from landingdeal.core.events import AttemptFailed, HubFailed, HubReleased
 from landingdeal.net import hub as hub_module
-from landingdeal.net import hubs as hubs_module
+from landingdeal.net import hub_connector
 from landingdeal.net import link as link_module
 from landingdeal.net.hub import MIN_RESTART_MS
 from landingdeal.net.hub_calls import END_NOTICE_MS
 from landingdeal.net.hub_check import MAX_CONNECTIONS, SUSPECT_SILENCE_MS
-from landingdeal.net.hubs import REDIAL_INTERVAL_MS
+from landingdeal.net.hub_connector import REDIAL_INTERVAL_MS
 from tests.releasing_hub import HUB_NAME, HubConnectionsHarness
 
 RELEASE_LIMIT_MS = 8050.0  # PROTOCOL: within 8 s of its end, and each limit is 50 ms longer
@@ -145,7 +145,7 @@
         time.sleep((MIN_RESTART_MS + 100.0) / 1000)
         return link_module.dial(host, port, deadline_ms + MIN_RESTART_MS)
 
-    monkeypatch.setattr(hubs_module, "dial", slow_dial)
+    monkeypatch.setattr(hub_connector, "dial", slow_dial)
     current.reset()
     harness.wait_for_connection(2)
     harness.pass_time(END_NOTICE_MS)
@@ -204,7 +204,7 @@
             raise error
         return link_module.dial(host, port, deadline_ms)
 
-    monkeypatch.setattr(hubs_module, "dial", failing_dial)
+    monkeypatch.setattr(hub_connector, "dial", failing_dial)
     harness.establish("a")
     harness.replace_current()
     harness.hub.release("a")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -692,7 +692,7 @@
         return send_original(message, still_wanted)
 
     link.send = send  # type: ignore[method-assign]
-    hubs._on_connected(hub, link)
+    hubs.connector.on_connected(hub, link)
     cancellers[0].join(5)
     link.send(request("OPTIONS", "sip:h", ("call-id", "last")))
     received = read_until(peer_sock, b"last")
@@ -709,7 +709,7 @@
     hubs.set_up(attempt)
     sock, peer_sock = socket.socketpair()
     link = HubLink(sock, lambda on, m: None, lambda on, r: None)
-    hubs._on_connected(hub, link)
+    hubs.connector.on_connected(hub, link)
     assert b"CANCEL sip" not in read_until(peer_sock, b"INVITE sip")
     hubs.cancel(attempt)
     assert b"INVITE sip" not in read_until(peer_sock, b"CANCEL sip") and not hub.pending[link]
@@ -724,7 +724,7 @@
     hub = hubs.hubs[b"h"]
     sock, peer_sock = socket.socketpair()
     link = HubLink(sock, lambda on, m: None, lambda on, r: None)
-    hubs._on_connected(hub, link)
+    hubs.connector.on_connected(hub, link)
     link.send(request("OPTIONS", "sip:h", ("call-id", "large"), body=bytes(4 * 1024 * 1024)))
     hubs.set_up(attempt)
     if reason == "cancelled":
