Platform: a hub that refuses a connect while another connection is sound keeps its calls

What callers saw: the current connection to a hub is reset and the hub accepts no further one for a while, as it accepts a limited number: all its calls were released towards their callers, although the hub lived and went on releasing on a connection that is kept for its calls.

Cause: a refused connect after a reset, or two refused in a row, were taken for the end of the hub's process. A process that ends resets all its connections, so one that is open and not silent (HubCalls) shows that it lives. If it is reset too, the next refused connect, 0.25 s later, cuts the calls as before.

Evidence: the first new test failed before, with HubFailed at the first and at the second refused connect. The second one, of a hub that really ends, passes on both.

--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -52,8 +52,8 @@
         self.recovering = False  # a further connection is being opened
         self.last_received_ms = self.connected_ms = now_ms()
         self.last_return_ms = 0.0  # when a silence ended that was long enough for a restart
-        # connects refused in a row; the time of a reset that may mean that its process has ended
-        self.refused_connects, self.suspect_reset_ms = 0, 0.0
+        self.refused_connects = 0  # in a row, while no other connection is sound
+        self.suspect_reset_ms = 0.0  # of a reset that may mean that its process has ended
         self.last_reset_ms = 0.0
         self.last_suspected_ms = 0.0  # when its connection was last replaced for silence
         self.declared_failed = False  # its calls have been released because of its silence
--- a/landingdeal/net/hub_calls.py
+++ b/landingdeal/net/hub_calls.py
@@ -92,6 +92,10 @@
             return []
         return [call_id for call_id, number in self._connections.items() if not self._is_sound(number)]
 
+    def has_sound_connection(self) -> bool:
+        """Whether a connection is open that passes messages on, as far as can be seen."""
+        return any(self._is_sound(connection) for connection in self._open)
+
     def _is_sound(self, connection: int) -> bool:
         return connection in self._open and connection not in self._unsettled
 
--- a/landingdeal/net/hub_connector.py
+++ b/landingdeal/net/hub_connector.py
@@ -85,9 +85,10 @@
         """The time before which the lab hub's calls are over; 0 if a failed connect does not show that.
 
         A reset alone is no proof of a failure: peers also reset idle connections and keep their calls. A
-        refused connect after it, or two refused in a row, show that the process ended.
+        refused connect after it, or two refused in a row, show that the process ended, unless another
+        connection to it is sound: hubs accept a limited number, and a process that ends resets them all.
         """
-        if not refused:
+        if not refused or hub.calls.has_sound_connection():
             hub.refused_connects = 0
             return 0.0
         hub.refused_connects += 1
--- a/tests/releasing_hub.py
+++ b/tests/releasing_hub.py
@@ -161,8 +161,14 @@
             for target in targets:
                 target.write(bye(call))
 
-    def end(self) -> None:
+    def stop_listening(self) -> None:
+        """Refuses further connections."""
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes the accepting thread
         self.listener.close()
+
+    def end(self) -> None:
+        self.stop_listening()
         for connection in self.connections:
             connection.reading.set()
             with suppress(OSError):
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -152,6 +152,33 @@
     assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
 
 
+def test_a_hub_that_refuses_further_connections_and_is_heard_on_another_one_keeps_its_calls(
+    harness: HubConnectionsHarness,
+) -> None:
+    """Hubs accept a limited number of connections; a refused connect does not show that the process ended."""
+    harness.establish("a")
+    current = harness.dial_again()
+    harness.pass_time(500.0)
+    harness.hub.stop_listening()
+    current.reset()
+    harness.pass_time(4 * REDIAL_INTERVAL_MS)
+    assert not [event for event in harness.events if isinstance(event, HubFailed | HubReleased)]
+    harness.hub.release("a")
+    harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
+
+
+def test_a_hub_that_refuses_connections_and_is_not_heard_any_more_has_failed(
+    harness: HubConnectionsHarness,
+) -> None:
+    connection = harness.establish("a")
+    current = harness.dial_again()
+    harness.pass_time(500.0)
+    harness.hub.stop_listening()
+    for ended in (connection, current):
+        ended.reset()
+    harness.wait_for(lambda: any(isinstance(event, HubFailed) for event in harness.events), 1000.0)
+
+
 def test_the_removal_of_a_hub_that_is_heard_after_a_reset_releases_no_call(
     harness: HubConnectionsHarness,
 ) -> None:
