Platform: connections to one hub that fall silent one after another stay within four

What could happen: a connection that is given up is read for up to 10 s. With a connection falling silent every second, ten of them stood open to one hub with no call on any, and each redial took another descriptor and another connection of the hub's. Hubs send their state on four connections at most (PROTOCOL).

Now a check that finds more than four closes the oldest one that is given up.

Evidence: the new test failed before, with five at the fifth silence. A redial takes a fifth one for up to 0.1 s.

--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -55,7 +55,8 @@
     recovery_due = current is not None and not hub.recovering and hub.calls.recovery_due(now)
     has_room = len(hub.pending) < MAX_CONNECTIONS
     check.recovery_due = recovery_due and has_room
-    check.overdue = _overdue_links(hub, now, make_room=recovery_due and not has_room)
+    needs_room = len(hub.pending) > MAX_CONNECTIONS or (recovery_due and not has_room)
+    check.overdue = _overdue_links(hub, now, needs_room)
     return check
 
 
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -204,6 +204,18 @@
     harness.wait_for(lambda: harness.released() >= {"a", "b", "c", "d"}, PROMPT_RELEASE_LIMIT_MS)
 
 
+def test_connections_that_fall_silent_one_after_another_do_not_go_over_the_limit(
+    harness: HubConnectionsHarness,
+) -> None:
+    """Each is read for seconds after it was given up, and state is sent on four connections at most."""
+    for number in range(2 * MAX_CONNECTIONS):
+        harness.replace_current()
+        harness.establish(str(number))  # the new connection gets answers
+        harness.hubs.forget(HUB_NAME, str(number))
+        harness.pass_time(700.0)
+        assert len(harness.state.pending) <= MAX_CONNECTIONS
+
+
 def test_releases_written_while_a_connection_is_silent_for_a_while_are_received_within_a_second(
     harness: HubConnectionsHarness,
 ) -> None:
