Laboratory: a hub of a trial that hangs before its answer sends no second answer afterwards

Cause: the emulated hub. A hang ends its attempts with an unknown outcome, so that the answer due then is not sent, but the second answer of the fault "answers twice" was, with a body of its own that no attempt records.

Change: there is a second answer only where there was a first. The check is unchanged.

--- a/landingdeal/lab/trial/hub.py
+++ b/landingdeal/lab/trial/hub.py
@@ -292,6 +292,8 @@
         second_status = self.rng.choice((200, 503))
 
         def answer_twice() -> None:
+            if not self._is_pending(connection, attempt):
+                return
             self._answer(connection, message, attempt, body)
             second_response = response(
                 message, second_status, body=b"0123456789abcdef\r\n" if second_status == 200 else b""
