Platform: a release that a message cut off before it has swallowed is recovered

What callers saw: a hub sends part of a message and then a release on the same connection. The two make one malformed message. The connection is given up, the hub closes it in good order, and the release is never received if the hub wrote it after the opening of the next connection, on which it would have repeated it.

Cause: a connection that the hub closes counted as one on which all was read. With a malformed message that is not so; it now counts as ended by the hub with something possibly lost, and one more connection follows if calls of it stand.

Evidence: the new test failed before ("not in time", 1 s).

--- a/landingdeal/net/hub_calls.py
+++ b/landingdeal/net/hub_calls.py
@@ -31,7 +31,7 @@
     """How a connection to a lab hub has ended."""
 
     CLOSED_BY_HUB = "closed by the hub"  # all that the lab hub wrote there was read
-    ENDED_BY_HUB = "ended by the hub after our close"  # what it wrote last may be lost, it writes no more
+    ENDED_BY_HUB = "ended by the hub"  # some of what it wrote may be lost, it writes no more
     LOST = "lost"  # the lab hub may go on writing there
 
 
--- a/landingdeal/net/hub_connection_end.py
+++ b/landingdeal/net/hub_connection_end.py
@@ -88,10 +88,10 @@
 
     @staticmethod
     def _connection_end(hub: Hub, link: HubLink) -> ConnectionEnd:
-        if link.closed_by_peer:
+        if link.closed_by_peer and not link.received_malformed:
             return ConnectionEnd.CLOSED_BY_HUB
         nothing_to_recover = link.for_recovery and not hub.calls.any_stand()
-        if link.reset_after_close or nothing_to_recover:
+        if link.closed_by_peer or link.reset_after_close or nothing_to_recover:
             return ConnectionEnd.ENDED_BY_HUB
         return ConnectionEnd.LOST
 
--- a/landingdeal/net/hub_messages.py
+++ b/landingdeal/net/hub_messages.py
@@ -59,7 +59,8 @@
         """Handles one message, in the thread that reads its connection."""
         hub.note_received()
         if isinstance(message, MalformedMessage):
-            # after a malformed message, further answers on this connection cannot be relied on
+            # further answers on this connection cannot be relied on, and it may have swallowed a release
+            link.received_malformed = True
             self.abandon(hub, link, f"malformed message: {message.problem}")
             return
         if message.status:
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -373,6 +373,7 @@
         self.outlived_replacement = False  # a message came here after the first of these probes
         self.replaced_ms = 0.0  # when the connection that replaces it came up
         self.first_unanswered_ms = 0.0  # the first set-up sent here since the last received message
+        self.received_malformed = False  # a message that could not be decoded came here
         self.last_answer_ms = 0.0  # the last final answer to a set-up
         self.pending_sends: dict[str, PendingSend] = {}  # of the set-ups sent here, by call
         self.reader_started = False
--- a/tests/test_hub_connection_loss.py
+++ b/tests/test_hub_connection_loss.py
@@ -282,6 +282,21 @@
     assert len(harness.hub.connections) == 2, "it was received on the connection itself"
 
 
+def test_a_release_that_a_message_cut_off_before_has_swallowed_is_received(
+    harness: HubConnectionsHarness,
+) -> None:
+    """The two make one malformed message; the lab hub closes the connection in good order afterwards."""
+    connection = harness.establish("a")
+    connection.reading.clear()
+    connection.write(MALFORMED_ANSWER)
+    harness.wait_for_connection(1)
+    connection.write(MALFORMED_ANSWER[:20])
+    harness.hub.release("a")
+    harness.pass_time(100.0)
+    connection.reading.set()
+    harness.wait_for(lambda: "a" in harness.released(), PROMPT_RELEASE_LIMIT_MS)
+
+
 def test_our_release_that_was_not_read_before_a_reset_is_sent_on_the_next_connection(
     harness: HubConnectionsHarness,
 ) -> None:
