Core: a set-up repeated right after its answered call was given up is not sent at once

What callers saw: an answer with a description that no hub gave for this attempt.

Cause: an id whose attempt is cancelled is refused for the release time (release_ms); not so where the CANCEL, or the end of the connection, crossed the answer. The rule that a hub gets a call again only 50 ms after its answer is kept within a call, and this was a new one. Both ways refuse the id for the release time now.

The new test failed before.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -323,6 +323,7 @@
                 self._abandon(call)
         elif established_call is not None and established_call.offer.caller.origin is event.caller.origin:
             self._handle_caller_release(event.call_id)  # the CANCEL crossed the answer
+            self._note_ended(event.call_id, self.now + self.settings.release_wait_ms)
 
     def _handle_caller_release(self, call_id: str) -> None:
         established_call = self.established.pop(call_id, None)
@@ -366,9 +367,13 @@
         call.attempt = None
         if call.offer.call_id not in self.established:
             self.contracts.call_ended(call.offer.call_id)
-            self.ended[call.offer.call_id] = call.not_before_ms
-            while len(self.ended) > MAX_ENDED_CALLS:
-                self.ended.popitem(last=False)
+            self._note_ended(call.offer.call_id, call.not_before_ms)
+
+    def _note_ended(self, call_id: str, not_before_ms: float) -> None:
+        """Remembers an id that is over for its caller; a set-up under it is refused until then."""
+        self.ended[call_id] = not_before_ms
+        while len(self.ended) > MAX_ENDED_CALLS:
+            self.ended.popitem(last=False)
 
     def _retry_after_ms(self) -> float:
         """The retry time advised where the core refuses a call itself."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -173,6 +173,18 @@
     assert harness.hubs.requests == ["cancel", "release"]
 
 
+def test_a_set_up_that_comes_again_after_its_caller_gave_up_an_answered_call_is_not_sent_at_once() -> None:
+    """A second answer of the hub to the first attempt would be taken for that of the next one."""
+    harness = CoreHarness()
+    first = harness.offer()
+    harness.give(AttemptEstablished(harness.hubs.sent[0], b"theirs"))
+    harness.give(SetUpCancelled("a", harness.caller))
+    second = RecordingCaller()
+    harness.give(replace(first, caller=second))
+    assert second.received == [RefusalReason.UNAVAILABLE] and len(harness.hubs.sent) == 1
+    assert harness.hubs.requests == ["release"]
+
+
 @pytest.mark.parametrize("connected", [True, False])
 def test_a_repeated_set_up_takes_over_the_call_only_if_its_first_connection_has_ended(
     connected: bool,
