--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -1,7 +1,6 @@
 """The event bus breaks off, then answers late: does the border controller learn of a drain?"""
 
 import asyncio
-import time
 from pathlib import Path
 
 from standins_2 import TROUBLE, Bus, Caller, Controller, Hub, Record, default_settings, main
