--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -28,6 +29,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 LINGER_RESET = struct.pack("ii", 1, 0)
 CASE_LIMIT_S = 100.0
+TEMPORARY_FOLDERS: list[str] = []
 
 
 class CannotRun(Exception):
@@ -561,6 +563,7 @@
     record = Record(Path(folder))
     code = COULD_NOT_RUN
     with tempfile.TemporaryDirectory() as temporary:
+        TEMPORARY_FOLDERS.append(temporary)
         try:
             broken = asyncio.run(asyncio.wait_for(scenario(record, Path(temporary)), CASE_LIMIT_S))
             for line in broken:
@@ -581,14 +584,19 @@
 def main(file: str, scenario: Callable[[Record, Path], Awaitable[list[str]]]) -> None:
     """Plays the case and ends the process; a case that hangs could not run, and leaves nothing behind."""
 
-    def give_up() -> None:
+    def give_up(why: str) -> None:
         for process in Controller.processes:
             if process.poll() is None:
                 process.kill()
-        print("the case hangs", file=sys.stderr, flush=True)
+                process.wait()
+        for folder in TEMPORARY_FOLDERS:
+            shutil.rmtree(folder, ignore_errors=True)
+        print(f"could not run: {why}", file=sys.stderr, flush=True)
         os._exit(COULD_NOT_RUN)
 
-    watchdog = threading.Timer(CASE_LIMIT_S + 3.0, give_up)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda received, _frame: give_up(f"signal {received}"))
+    watchdog = threading.Timer(CASE_LIMIT_S + 3.0, lambda: give_up("the case hangs"))
     watchdog.daemon = True
     watchdog.start()
     code = play(str(Path(file).resolve().parent), scenario)
