Core: no retry is invited while an attempt that must not run twice is out

Cause: only the decision module looked at the class's effect. The core refuses calls by itself too (stop, broken stream, deadline, a core that fails), and so do the fronts (flush, full inbox); they went by the name of the last outcome. Change: badgerstile/repeats.py is the one rule, from the class's effect and the outcomes of the call's attempts; the module and PendingCall.refuse, through which each answer of the core goes, use it. An attempt surely never ran if its outcome says so or no byte of it was written: Attempt carries the PendingSend that its writer claims, on both fronts, and what is refused withdraws it first; a lost connection or a time-out of an unwritten attempt stays harmless. RequestHistory tells the fronts what they may say when the core can't answer. A guarded class with group "all" gets 503. Why it works: no answer that invites a retry can leave the core without passing the rule, and what was written counts as run until an outcome shows otherwise.

--- a/badgerstile/control.py
+++ b/badgerstile/control.py
@@ -33,7 +33,6 @@
     Refuse,
     RejectionReason,
     Report,
-    RetryPolicy,
     SendPeerMessage,
     SetTimer,
     Settings,
@@ -41,6 +40,7 @@
     TimerFired,
     WatchList,
 )
+from badgerstile.repeats import RepeatSafety
 
 # A wait unit is Softswitch.wait_unit_ms: the time to a retransmission, at most a third of the shortest slo.
 STALL_MS = 100.0  # a timer that fires this late means that this softswitch itself was stalled
@@ -154,13 +154,19 @@
 
     __slots__ = (
         "id", "number", "class_index", "width", "transit", "worth_quantile", "slo_started_at", "slo_at",
-        "answer_by", "not_before", "attempts", "pending_exchange", "tried_exchanges", "may_have_run",
+        "answer_by", "not_before", "attempts", "pending_exchange", "tried_exchanges", "repeat_safety",
         "advised", "called", "first_tried_at",
     )  # fmt: skip
 
     def __init__(
-        self, event: CallOffered, now: float, first_tried_at: float, slo_ms: float, worth_quantile: float
+        self,
+        event: CallOffered,
+        now: float,
+        first_tried_at: float,
+        call_class: CallClass,
+        worth_quantile: float,
     ) -> None:
+        slo_ms = call_class.slo_ms
         self.called, self.first_tried_at = event.called_number, first_tried_at
         self.id = event.call
         self.number = event.destination
@@ -177,7 +183,7 @@
         self.attempts = 0
         self.pending_exchange: bytes | None = None
         self.tried_exchanges: list[bytes] = []
-        self.may_have_run = False
+        self.repeat_safety = RepeatSafety(call_class)
 
 
 class Softswitch:
@@ -338,7 +344,7 @@
         # equals, and in total the fraction of calls that it states.
         below = sum(fraction for other_worth, fraction in self.worth_mix.items() if other_worth < worth)
         worth_quantile = (below + self.random.random() * self.worth_mix[worth]) / sum(self.worth_mix.values())
-        call = self.calls[event.call] = Call(event, now, first_tried_at, service_class.slo_ms, worth_quantile)
+        call = self.calls[event.call] = Call(event, now, first_tried_at, service_class, worth_quantile)
         # First tries only, so that the rate is the demand for an exchange, also while it is unavailable.
         if first_tried_at == now:
             rate, updated_at = self.offered_rates.get(call.number, (0.0, now))
@@ -503,11 +509,8 @@
         del self.calls[call.id]
         self._remember_unserved(call)
         advice = self.settings.max_retry_after_ms if self.settings.sends_retry_after else 0.0
-        self.actions.append(FailCall(call.id, advice) if self._no_repeat(call) else Refuse(call.id, advice))
-
-    def _no_repeat(self, call: Call) -> bool:
-        """Whether the call may have run already and its class forbids to run it twice."""
-        return call.may_have_run and self._class_at(call.class_index).retry_policy is not RetryPolicy.FREE
+        harmless = call.repeat_safety.refusal_is_harmless
+        self.actions.append(Refuse(call.id, advice) if harmless else FailCall(call.id, advice))
 
     # --- peer messages: free circuits of second legs, which only the destination knows ---
 
@@ -648,10 +651,7 @@
             return
         if event.outcome in (AttemptOutcome.TIMED_OUT, AttemptOutcome.CUT, AttemptOutcome.CANCELLED):
             call.not_before = now + self.settings.release_wait_ms
-        if event.outcome in (
-            AttemptOutcome.TIMED_OUT, AttemptOutcome.CUT, AttemptOutcome.CANCELLED, AttemptOutcome.ERROR
-        ):  # fmt: skip
-            call.may_have_run = True
+        call.repeat_safety.attempt_ended(event.outcome, event.was_sent)
         if remote is not None and remote.number != call.number:
             self._back_off_tandem(remote, call, now)
         elif event.reason is RejectionReason.NO_CIRCUIT and event.outcome is not AttemptOutcome.NOT_SENT:
@@ -661,7 +661,7 @@
         not_retryable = event.outcome is not AttemptOutcome.NOT_SENT and event.reason in (
             RejectionReason.LINES_BUSY, RejectionReason.PROCESSOR_FULL, RejectionReason.TANDEM_FAR_FULL
         )  # fmt: skip
-        if not_retryable or self._no_repeat(call) or call.transit:
+        if not_retryable or not call.repeat_safety.may_be_sent_again or call.transit:
             self._refuse(call)
         else:
             self._decide(call, now)
--- a/badgerstile/interface.py
+++ b/badgerstile/interface.py
@@ -94,7 +94,8 @@
 
     A call established within `slo_ms` is worth `worth`, and a later one `worth * late_worth`. `width` is the
     number of circuits that a call takes, `mean_hold_ms` its mean duration (0 for unknown). `pools` are the
-    numbers of the exchanges that can serve the class; empty means all of them.
+    numbers of the exchanges that can serve the class; empty means all of them. For a guarded class,
+    `repeats_discarded_everywhere` states that every exchange discards repeats of a request.
     """
 
     name: str
@@ -105,6 +106,7 @@
     width: int
     mean_hold_ms: float
     retry_policy: RetryPolicy = RetryPolicy.FREE
+    repeats_discarded_everywhere: bool = False
     pools: tuple[int, ...] = ()
 
 
@@ -197,7 +199,8 @@
     """An attempt, or an established call, ended.
 
     `call_ended` means that the call is over: no further attempt or answer is due. `reported_wait_ms` is the
-    waiting time that an exchange with a full processor reported.
+    waiting time that an exchange with a full processor reported. `was_sent` is false if no byte of the
+    attempt has left, whatever its outcome.
     """
 
     call: int
@@ -209,6 +212,7 @@
     reason: RejectionReason = RejectionReason.NONE
     reported_wait_ms: float = 0.0
     load_values: tuple[float, ...] = ()
+    was_sent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/badgerstile/wire.py
+++ b/badgerstile/wire.py
@@ -176,6 +176,7 @@
                 width=int(widths[k]) if k < len(widths) else 1,
                 mean_hold_ms=float(mean_holds[k]) if k < len(mean_holds) else 0.0,
                 retry_policy=RetryPolicy(raw.get("effect") or "free"),
+                repeats_discarded_everywhere=raw.get("group") == "all",
                 pools=tuple(int(p) for p in skilled_pools[k] or ()) if k < len(skilled_pools) else (),
             )
             for k, raw in enumerate(raw_classes)
--- a/landingdeal/capture/replay.py
+++ b/landingdeal/capture/replay.py
@@ -23,8 +23,8 @@
 from landingdeal.capture.player import CallPlayer, ReplayAddresses, ReplayResult
 from landingdeal.capture.retries import RetryModel, RetryScheduler
 from landingdeal.clock import now_ms, seconds_until
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.net.link import Link, connect
-from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.loop import EventLoop, Work
 from landingdeal.sip.message import MalformedMessage, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Timing
--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -58,6 +58,7 @@
 )
 from landingdeal.core.guard import Guard
 from landingdeal.core.lifecycle import Lifecycle
+from landingdeal.core.request_history import RequestHistory
 from landingdeal.log import log_event, log_exception, log_text
 
 MAX_INBOX_SIZE = 4096  # events; above this, set-ups are refused at once
@@ -96,6 +97,7 @@
     def __init__(self) -> None:
         self.queue: queue.Queue[CoreEvent] = queue.Queue(MAX_INBOX_SIZE * 2)
         self.core_events: deque[CoreEvent] = deque()
+        self.request_history = RequestHistory()
         self.closed = False
 
     def offer(self, offer: Offer) -> bool:
@@ -105,6 +107,10 @@
         self.queue.put(offer)
         return True
 
+    def refusal_reason(self, identity: str) -> RefusalReason:
+        """The reason with which a front refuses a request that the core doesn't answer."""
+        return self.request_history.refusal_reason(identity) or RefusalReason.UNAVAILABLE
+
     def put(self, event: CoreEvent) -> None:
         """Queues an event; blocks while the queue is full."""
         self.queue.put(event)
@@ -173,9 +179,12 @@
     # --- the loop ---
 
     def run(self) -> None:
-        """Handles events until the core may end."""
-        while self.lifecycle.core_running:
-            self.run_once()
+        """Handles events until the core may end; whatever ends it, no call is left without its answer."""
+        try:
+            while self.lifecycle.core_running:
+                self.run_once()
+        finally:
+            self._refuse_all_pending()
 
     def run_once(self) -> None:
         """Handles a batch of events, then the due timers, all at one time as the decision module expects."""
@@ -191,10 +200,16 @@
         if not self.lifecycle.healthy:
             # refuses pending calls in time before the platform kills the process
             if self.lifecycle.check_core(len(self.pending), self.inbox.size(), self.now):
-                for call in list(self.pending.values()):
-                    self._refuse_pending(call)
+                self._refuse_all_pending()
             self.inbox.closed = not self.lifecycle.accepts_set_ups
 
+    def _refuse_all_pending(self) -> None:
+        for call in list(self.pending.values()):
+            try:
+                self._refuse_pending(call)
+            except Exception:  # the other calls need their answers all the same
+                log_exception()
+
     def _handle_safely(self, event: CoreEvent | Timer) -> None:
         """Handles one event; after an exception a set-up without an attempt is refused."""
         try:
@@ -262,12 +277,13 @@
         pending_call = self.pending.get(offer.call_id)
         if self._take_over_repeat(offer, pending_call or self.established.get(offer.call_id)):
             return
-        call = PendingCall(offer, next(self.numbers))
+        class_index = self.class_indexes.get(offer.class_name)
+        call_class = self.settings.classes[class_index] if class_index is not None else None
+        call = PendingCall(offer, next(self.numbers), call_class)
         if pending_call is not None or offer.call_id in self.established:
             # the id belongs to another call: this caller must not get that call's answer
             call.refuse(0.0, RefusalReason.FAILED)
             return
-        class_index = self.class_indexes.get(offer.class_name)
         team_retry_after_ms = self.contracts.admit(offer.team, offer.class_name, offer.call_id, self.now)
         if class_index is None or offer.destination not in self.known_hub_numbers:
             call.refuse(0.0, RefusalReason.FAILED)  # keeps unknown numbers out of the module's tables
@@ -350,6 +366,7 @@
     def _abandon(self, call: PendingCall) -> None:
         """Removes a call that is over for its caller and cancels its pending attempt."""
         attempt = call.attempt
+        was_sent = call.settle_attempt(AttemptOutcome.CANCELLED)
         if attempt is not None:
             call.not_before_ms = self.now + self.settings.release_wait_ms
         self._remove_pending(call)
@@ -358,13 +375,15 @@
             self.hubs.cancel(attempt)
             self._notify_module(
                 AttemptEnded(call.number, attempt.hub, attempt.number, AttemptOutcome.CANCELLED, True,
-                             self.now - attempt.sent_ms)
+                             self.now - attempt.sent_ms, was_sent=was_sent)
             )  # fmt: skip
 
     def _remove_pending(self, call: PendingCall) -> None:
         self.pending.pop(call.offer.call_id, None)
         self.pending_by_number.pop(call.number, None)
         call.attempt = None
+        if call.repeat_safety.may_be_sent_again:
+            self.inbox.request_history.never_ran(call.offer.identity)
         if call.offer.call_id not in self.established:
             self.contracts.call_ended(call.offer.call_id)
             self._note_ended(call.offer.call_id, call.not_before_ms)
@@ -402,6 +421,7 @@
             del self.established[oldest_id]
             self.hubs.forget(oldest_call.attempt.hub, oldest_id)
             self.contracts.call_ended(oldest_id)
+        call.settle_attempt(AttemptOutcome.ENDED)
         self.established[call_id] = EstablishedCall(call, attempt, event.description, self.now)
         call.answer(event.description)
         self._remove_pending(call)
@@ -417,6 +437,7 @@
         self._update_guard(attempt.hub, event.load_values)
         if call is None:
             return
+        was_sent = call.settle_attempt(event.outcome)
         call.attempt = None
         if event.outcome not in NOT_ANSWERED:
             call.refused_ms_by_hub[attempt.hub] = self.now
@@ -432,7 +453,7 @@
             call.not_before_ms = self.now + self.settings.release_wait_ms
         self._notify_module(
             AttemptEnded(call.number, attempt.hub, attempt.number, event.outcome, False,
-                         self.now - attempt.sent_ms, event.reason, 0.0, event.load_values)
+                         self.now - attempt.sent_ms, event.reason, 0.0, event.load_values, was_sent)
         )  # fmt: skip
 
     def _handle_attempt_timeout(self, attempt: Attempt) -> None:
@@ -539,7 +560,7 @@
             call.refuse(retry_after_ms, reason or call.refusal_reason)
             if attempt is not None:
                 call.not_before_ms = self.now + self.settings.release_wait_ms
-            log_event("refused", call=call.offer.call_id, why=(reason or call.refusal_reason).value,
+            log_event("refused", call=call.offer.call_id, why=call.refusal_reason.value,
                       by="module", attempts=call.attempt_count, come_back_ms=retry_after_ms)  # fmt: skip
             self._remove_pending(call)
             if attempt is not None:
@@ -566,6 +587,10 @@
             call.attempt_count + 1,
             None,
         )
+        if not call.repeat_safety.class_allows_repeats:
+            self.inbox.request_history.attempt_started(
+                call.offer.identity, call.repeat_safety.repeats_are_discarded
+            )
         self.guard.record_send(hub, self.now)
         self._set_timer(attempt_deadline_ms, attempt)
         if send_ms > self.now:
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -5,16 +5,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
 from badgerstile.interface import AttemptOutcome, ExchangeList, RejectionReason
 from landingdeal.core.contracts import Contract
+from landingdeal.core.pending_send import PendingSend
 
 
 class RefusalReason(Enum):
-    """Why a call is refused. After all but FAILED and FORBIDDEN the caller may safely retry."""
+    """Why a call is refused; `invites_retry` says what its caller is told."""
 
     UNAVAILABLE = "turned away"
     BUSY = "busy"
@@ -22,6 +23,11 @@
     FAILED = "failed"
     FORBIDDEN = "forbidden"
 
+    @property
+    def invites_retry(self) -> bool:
+        """Whether the caller is told that trying again is harmless."""
+        return self not in (RefusalReason.FAILED, RefusalReason.FORBIDDEN)
+
 
 class CallerResponder(Protocol):
     """Sends the final answer and the release of one call to its caller. No method blocks."""
@@ -98,6 +104,12 @@
     in_transit: bool = False
     is_redial_after_cut: bool = False
     team: str = ""
+    request_id: str = ""  # the caller's name for the request, if it is not the call id
+
+    @property
+    def identity(self) -> str:
+        """What a repeat of this request has in common with it, on whichever connection it comes."""
+        return self.request_id or self.call_id
 
     def is_repeat_of(self, earlier: Offer) -> bool:
         """Whether this is the same set-up sent again, not another one that uses the same call id."""
@@ -108,13 +120,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One set-up sent to one lab hub; `number` counts the attempts of a call from 0."""
+    """One set-up sent to one lab hub; `number` counts the attempts of a call from 0.
+
+    `pending_send` says whether any byte of it may have left: whoever writes it claims it first.
+    """
 
     offer: Offer
     number: int
     hub: bytes
     sent_ms: float
     deadline_ms: float
+    pending_send: PendingSend = field(default_factory=PendingSend, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/landingdeal/net/pending_send.py
+++ b/landingdeal/core/pending_send.py
@@ -40,9 +40,16 @@
         return self._transition(PendingSendState.CLAIMED)
 
     def withdraw(self) -> bool:
-        """Called by the owner; True if the message will never be sent, False if it is being or was sent."""
+        """Called by the owner; True if the message will never be sent, False if it is being or was sent.
+
+        Only one call succeeds.
+        """
         return self._transition(PendingSendState.WITHDRAWN)
 
+    def ensure_withdrawn(self) -> bool:
+        """Withdraws the message if nobody has; whether it will never be sent, now or by an earlier call."""
+        return self.withdraw() or self.withdrawn
+
     @property
     def waiting(self) -> bool:
         """Whether the message is neither claimed nor withdrawn."""
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -10,7 +10,7 @@
 from landingdeal.clock import now_ms
 from landingdeal.core import steps
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import CallerReleased, CallerStreamBroken, RefusalReason, SetUpCancelled
+from landingdeal.core.events import CallerReleased, CallerStreamBroken, SetUpCancelled
 from landingdeal.core.lifecycle import IdleConnection, Lifecycle, connections_to_close, may_close
 from landingdeal.log import log_event
 from landingdeal.net.link import Acceptor, CallerLink
@@ -68,7 +68,8 @@
             open_links = list(self.links.items())
         for link, pending in open_links:
             for transaction in list(pending.values()):
-                transaction.refuse(self.retry_after_ms, RefusalReason.UNAVAILABLE)
+                reason = self.inbox.refusal_reason(transaction.invite.call_id)
+                transaction.refuse(self.retry_after_ms, reason)
             self._close_if_idle(link)
         return sum(link.alive for link, _ in open_links)
 
@@ -228,7 +229,7 @@
         steps.reached(steps.REGISTERED)
         if not self.inbox.offer(offer):  # full, or the core has ended: the caller still gets an answer
             log_event("refused", call=offer.call_id, by="front", closed=self.inbox.closed)
-            transaction.refuse(self.retry_after_ms, RefusalReason.UNAVAILABLE)
+            transaction.refuse(self.retry_after_ms, self.inbox.refusal_reason(offer.identity))
 
     def transaction_answered(self, transaction: CallerTransaction) -> None:
         """Moves a pending set-up to the answered ones."""
--- a/landingdeal/net/hub_requests.py
+++ b/landingdeal/net/hub_requests.py
@@ -6,7 +6,6 @@
 from landingdeal.core.events import Attempt, Offer
 from landingdeal.net.hub import Hub
 from landingdeal.net.link import HubLink
-from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.headers import reason_header
 from landingdeal.sip.message import Message, request
 
@@ -56,7 +55,7 @@
         message = self.invite(offer, remaining_ms)
         with hub.changed:  # registered and queued under one lock, so that a CANCEL follows it
             pending_calls = hub.pending.get(link)
-            pending_send = PendingSend()
+            pending_send = attempt.pending_send
             if pending_calls is None or not link.send(message, still_wanted=pending_send.claim):
                 return False
             pending_calls[offer.call_id] = attempt
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -17,8 +17,8 @@
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core import steps
 from landingdeal.core.lifecycle import ConnectionState
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.log import log_exception, log_text
-from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Framer, FramingError, MalformedMessage, Message, OversizedMessage, encode
 from landingdeal.threads import start_supervised_thread, start_thread
 
@@ -396,7 +396,7 @@
     def withdraw(self, call: str) -> bool:
         """Withdraws a set-up that still waits to be written; False if it is being or was written."""
         pending_send = self.pending_sends.pop(call, None)
-        return pending_send is not None and pending_send.withdraw()
+        return pending_send is not None and pending_send.ensure_withdrawn()
 
     def unresponsive_for_ms(self, now: float) -> float:
         """For how long set-ups have been sent here without anything being received."""
--- a/landingdeal/sip/call.py
+++ b/landingdeal/sip/call.py
@@ -123,3 +123,9 @@
         """Identifies copies of one INVITE that arrive over different paths (8.2.2.2)."""
         invite = self.invite_transaction.request
         return invite.call_id, parse_name_addr(invite.get("from")).tag, invite.cseq[0]
+
+    @property
+    def identity(self) -> str:
+        """Names the caller's request in the core: the same for each INVITE of one Call-ID and From tag."""
+        call_id, from_tag, _ = self.merge_key
+        return f"{call_id} {from_tag}"
--- a/landingdeal/sip/capture.py
+++ b/landingdeal/sip/capture.py
@@ -11,9 +11,9 @@
 from landingdeal.capture.messages import CapturedMessage
 from landingdeal.capture.reader import ReadReport, read_messages
 from landingdeal.clock import now_ms, seconds_until
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.errors import ConfigError
 from landingdeal.log import log_text
-from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Message
 from landingdeal.sip.transport import ReceivedMessage, Tap
 
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 
 from landingdeal.core.lifecycle import Lifecycle
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.sip.address import (
     MAGIC_COOKIE,
     AddressError,
@@ -202,10 +203,16 @@
     # --- sending ---
 
     def _start_client_transaction(
-        self, flow: Flow, message: Message, on_response: ResponseHandler
+        self,
+        flow: Flow,
+        message: Message,
+        on_response: ResponseHandler,
+        pending_request: PendingSend | None = None,
     ) -> ClientTransaction:
+        """Sends a request; with `pending_request`, its owner may withdraw it until it is written."""
         branch = parse_via(message.get("via")).branch
-        transaction = ClientTransaction(self, flow, message, f"{branch}|{message.method}", on_response)
+        key = f"{branch}|{message.method}"
+        transaction = ClientTransaction(self, flow, message, key, on_response, pending_request)
         self.client_transactions[transaction.key] = transaction
         accepted = transaction.start()
         if not accepted or not flow.alive:
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -43,6 +43,7 @@
 from landingdeal.threads import start_thread
 
 MAX_CALLS = 4000
+BUSY_RETRY_AFTER_MS = 2000.0  # advised where the core takes no more calls
 STATUS_BY_REFUSAL_REASON = {
     RefusalReason.BUSY: 486,
     RefusalReason.TIMED_OUT: 408,
@@ -181,11 +182,10 @@
             caller=call.caller,
             called_number=int.from_bytes(hashlib.blake2b(user.encode(), digest_size=8).digest(), "big"),
             team=message.get("organization"),
+            request_id=call.identity,
         )
         if len(self.calls) >= MAX_CALLS or not self.inbox.offer(offer):
-            transaction.respond(
-                self._make_response(message, 503, ("retry-after", "2"), local_tag=call.local_tag)
-            )
+            self.refuse_call(call, BUSY_RETRY_AFTER_MS, self.inbox.refusal_reason(call.identity))
             return
         self.calls[call.key] = self.early_calls[transaction.key] = call
         self.merge_keys.add(call.merge_key)
@@ -290,6 +290,8 @@
             return  # the timer of the core ends this attempt
         if call.invite_transaction.final_response_sent:
             return  # cancelled while this attempt was posted: the core ends it when it handles the CANCEL
+        if attempt.pending_send.withdrawn:
+            return  # ended by the core while it was posted
         leg = call.legs[attempt.number] = HubLeg(call, attempt, hub)
         flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port)
         invite = call.invite_transaction.request
@@ -306,7 +308,10 @@
             body=invite.body,
         )  # fmt: skip
         leg.transaction = self._start_client_transaction(
-            flow, invite_to_hub, lambda message: self._handle_invite_response(leg, message)
+            flow,
+            invite_to_hub,
+            lambda message: self._handle_invite_response(leg, message),
+            attempt.pending_send,
         )
         leg.occupies_circuit = True
         self._change_used_circuits(hub, 1)
@@ -477,5 +482,6 @@
             if call.caller_side is not None or call.hub_side is not None:
                 self._end_call(call, CAUSE_CALL_CUT, None)
             elif not call.invite_transaction.final_response_sent:  # it arrived after the core had ended
-                self.refuse_call(call, self.settings.max_retry_after_ms, RefusalReason.UNAVAILABLE)
+                reason = self.inbox.refusal_reason(call.identity)
+                self.refuse_call(call, self.settings.max_retry_after_ms, reason)
         self.all_released = True
--- a/landingdeal/sip/response_flow.py
+++ b/landingdeal/sip/response_flow.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from landingdeal.net.pending_send import PendingSend
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.sip.address import Via, parse_via, split_unquoted
 from landingdeal.sip.message import Message
 from landingdeal.sip.transaction import Flow
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Protocol
 
-from landingdeal.net.pending_send import PendingSend
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.sip.message import Message, request, response
 
 
@@ -219,11 +219,12 @@
         message: Message,
         key: str,
         on_response: Callable[[Message], None],
+        pending_request: PendingSend | None = None,
     ) -> None:
         super().__init__(services, flow, message, key)
         self.is_invite = message.method == "INVITE"
         self.on_response = on_response
-        self.pending_request = PendingSend()
+        self.pending_request = pending_request or PendingSend()
         self.abandoned = False
         self.ack: Message | None = None
 
@@ -252,7 +253,7 @@
 
         Returns True if it was never sent: then the transaction has ended, and no response will come.
         """
-        if not self.pending_request.withdraw():
+        if not self.pending_request.ensure_withdrawn():
             return False
         self.terminate()
         return True
@@ -280,7 +281,7 @@
         """Ends the transaction with a 503 if it still waits for a final response."""
         if self.state not in (SipTransactionState.CALLING, SipTransactionState.PROCEEDING):
             return
-        never_sent = self.pending_request.withdraw()
+        never_sent = self.pending_request.ensure_withdrawn()
         if self.is_invite and not never_sent:
             self.state = SipTransactionState.FAILED
             self.terminate_at(self.deadline_after(self.timing.transaction_timeout))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -29,7 +29,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -147,7 +147,10 @@
 class PlatformHarness:
     """The program as the platform starts it, with test doubles for lab hubs 0 to 2 and the event bus."""
 
-    def __init__(self, folder: Path, operator: str = "") -> None:
+    def __init__(
+        self, folder: Path, operator: str = "", class_changes: Mapping[str, object] | None = None
+    ) -> None:
+        """Starts the program; `class_changes` replaces these settings of every class."""
         self.mailboxes: dict[str, Mailbox] = {}
         self.listeners = {f"hub{n}": socket.create_server(("127.0.0.1", 0)) for n in range(3)}
         self.bus_events: dict[str, queue.Queue[str]] = {name: queue.Queue() for name in ("bus", "bus2")}
@@ -159,9 +162,11 @@
         self.offset = 1
         self.port = free_port()
         known_events = {"offset": 1, "batch": [self._event(True, "up", "hub0", "hub1", "hub2")]}
+        classes = [{**each, **(class_changes or {})} for each in SETTINGS["classes"]]
         config = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-                  "bus": self._address("bus"), "known": known_events, "settings": SETTINGS}  # fmt: skip
+                  "bus": self._address("bus"), "known": known_events,
+                  "settings": {**SETTINGS, "classes": classes}}  # fmt: skip
         path = self.config_path = folder / "config.json"
         self.config: dict[str, Any] = config
         path.write_text(json.dumps(config))
--- a/tests/scenario_sip.py
+++ b/tests/scenario_sip.py
@@ -19,7 +19,7 @@
 import sys
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
@@ -132,12 +132,19 @@
         hubs: Mapping[str, ScenarioParty] | None = None,
         port: int = 0,
         stderr: int | None = None,
+        settings_changes: Sequence[tuple[str, str]] = (),
     ) -> None:
-        """Starts the program; its log goes to a file, or to the descriptor `stderr`."""
+        """Starts the program; its log goes to a file, or to the descriptor `stderr`.
+
+        `settings_changes` are texts of the operator's file and what takes their place.
+        """
         self.transport, self.port = transport, port or free_port()
         self.parties = dict(hubs or {name: ScenarioParty(name, transport) for name in ("hub1", "hub2")})
         path = folder / "operator.toml"
-        path.write_text(operator_file(self.port, self.parties, extra))
+        text = operator_file(self.port, self.parties, extra)
+        for old, new in settings_changes:
+            text = text.replace(old, new)
+        path.write_text(text)
         self.log_path = folder / "log"
         with self.log_path.open("wb") as log:
             self.program = subprocess.Popen(
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -14,6 +14,7 @@
     Health,
     ListKind,
     RejectionReason,
+    Settings,
 )
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
@@ -71,8 +72,11 @@
         self.sent: list[Attempt] = []
         self.requests: list[str] = []
         self.connection_silent = False
+        self.writes = True  # whether set-ups are written, or wait
 
     def set_up(self, attempt: Attempt) -> None:
+        if self.writes:
+            attempt.pending_send.claim()
         self.sent.append(attempt)
 
     def cancel(self, attempt: Attempt) -> bool:
@@ -92,11 +96,11 @@
 class CoreHarness:
     """A core with one lab hub, whose broker handles events in the thread of the test."""
 
-    def __init__(self, contracts: tuple[Contract, ...] = ()) -> None:
+    def __init__(self, contracts: tuple[Contract, ...] = (), settings: Settings = SET) -> None:
         self.hubs, self.caller, self.inbox = RecordingHubs(), RecordingCaller(), Inbox()
         self.unknown_releases: list[str] = []
         self.broker = Broker(
-            SET,
+            settings,
             1,
             self.inbox,
             self.hubs,
--- a/tests/test_pending_send.py
+++ b/tests/test_pending_send.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.net.link import Link
-from landingdeal.net.pending_send import PendingSend
 from landingdeal.sip.message import Message, request
 from landingdeal.sip.transport import MAX_QUEUED_MESSAGES, TcpFlow
 from tests.sockets import read_until
