Core: an id that must not run twice is not sent again after its caller has left

Seen: a single_shot id that came again 0.35 s after its caller had left went out a second time, on the platform and on SIP over TCP and UDP; within the release time it got 503, which invites one more try. Cause: an ended call was remembered for the release time alone, whatever its class; on the SIP front each INVITE with a new branch made a new call. What surely never ran is forgotten.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -284,6 +284,11 @@
             # the id belongs to another call: this caller must not get that call's answer
             call.refuse(0.0, RefusalReason.FAILED)
             return
+        repeat_reason = self.inbox.request_history.refusal_reason(offer.identity)
+        if repeat_reason is not None:
+            log_event("repeat_refused", call=offer.call_id, why=repeat_reason.value)
+            call.refuse(self._retry_after_ms(), repeat_reason)
+            return
         team_retry_after_ms = self.contracts.admit(offer.team, offer.class_name, offer.call_id, self.now)
         if class_index is None or offer.destination not in self.known_hub_numbers:
             call.refuse(0.0, RefusalReason.FAILED)  # keeps unknown numbers out of the module's tables
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,15 +11,19 @@
 from badgerstile.interface import AttemptOutcome, RetryPolicy, Settings
 from landingdeal.clock import now_ms
 from landingdeal.core.events import (
+    AttemptEstablished,
     AttemptFailed,
+    CallerReleased,
     CallerStreamBroken,
     Offer,
     RefusalReason,
+    SetUpCancelled,
     StopRequested,
 )
 from landingdeal.core.request_history import RequestHistory
 from tests.rig.front import CallerHarness
 from tests.scenario import PlatformHarness, play
+from tests.scenario_sip import SipHarness
 from tests.test_core import SET, CoreHarness
 
 LONG_AGO_MS = 100_000.0
@@ -119,6 +123,36 @@
     front.end()
 
 
+def leave(harness: CoreHarness, offer: Offer) -> None:
+    harness.give(SetUpCancelled("a", harness.caller))
+
+
+def establish_and_release(harness: CoreHarness, offer: Offer) -> None:
+    harness.give(AttemptEstablished(harness.hubs.sent[0], b"theirs"), CallerReleased("a"))
+
+
+def turn_back_and_leave(harness: CoreHarness, offer: Offer) -> None:
+    harness.give(AttemptFailed(harness.hubs.sent[0], AttemptOutcome.TURNED_BACK))
+    leave(harness, offer)
+
+
+@pytest.mark.parametrize(
+    ("end", "sent_again"), [(leave, False), (establish_and_release, False), (turn_back_and_leave, True)]
+)
+def test_an_id_that_comes_again_is_sent_again_only_if_it_never_ran(
+    end: Callable[[CoreHarness, Offer], None], sent_again: bool
+) -> None:
+    harness = CoreHarness(settings=settings_with(RetryPolicy.SINGLE_SHOT))
+    end(harness, harness.offer())
+    sent_before = len(harness.hubs.sent)
+    harness.broker.ended.clear()  # as after the release time
+    harness.caller.received.clear()
+    harness.offer()
+    assert len(harness.hubs.sent) - sent_before == sent_again
+    if not sent_again:
+        assert harness.caller.received == [RefusalReason.FAILED]
+
+
 def test_the_history_of_requests_is_bounded() -> None:
     history = RequestHistory(max_requests=2)
     for identity in "abc":
@@ -146,3 +180,46 @@
         """)  # fmt: skip
     finally:
         harness.end()
+
+
+def test_a_single_shot_id_that_comes_again_after_its_caller_left_is_not_sent_again(tmp_path: Path) -> None:
+    harness = single_shot_harness(tmp_path)
+    try:
+        play(harness, """
+            caller send INVITE a dest=1
+            hub1 expect INVITE a
+            caller close
+            hub1 expect CANCEL a
+            hub1 wait 400
+            caller2 send INVITE a dest=1
+            caller2 expect 500 a
+            hub1 wait 300
+        """)  # fmt: skip
+    finally:
+        harness.end()
+
+
+@pytest.mark.parametrize("transport", ["tcp", "udp"])
+def test_a_single_shot_sip_request_that_comes_again_is_not_sent_again(tmp_path: Path, transport: str) -> None:
+    harness = SipHarness(tmp_path, transport, settings_changes=(('"free"', '"single_shot"'),))
+    try:
+        play(harness, """
+            caller send INVITE a
+            hub1 expect INVITE a
+            hub1 send 180 a
+            caller expect 180 a
+            caller send CANCEL a
+            caller expect 200 a
+            caller expect 487 a
+            caller send ACK a
+            hub1 expect CANCEL a
+            hub1 send 200 a of=CANCEL
+            hub1 send 487 a
+            hub1 expect ACK a
+            hub1 wait 400
+            caller send INVITE a branch=z9hG4bKagain
+            caller expect 500 a
+            hub1 wait 300
+        """)  # fmt: skip
+    finally:
+        harness.end()
