SIP messages: a head of very many fields is malformed; a message is decoded once

Cause: a decoded field takes some 50 times its bytes; up to 1,024 answered set-ups kept their whole message, and the framer decoded the whole head again for each chunk that came. Change: at most 256 header lines, then 400; the length is found without decoding; a message is decoded when it is complete; a transaction keeps only the headers that its answer copies.

--- a/landingdeal/net/transaction.py
+++ b/landingdeal/net/transaction.py
@@ -11,7 +11,7 @@
 from landingdeal.core.events import RefusalReason
 from landingdeal.log import log_event
 from landingdeal.net.link import CallerLink
-from landingdeal.sip.message import Message, response
+from landingdeal.sip.message import Message, response, response_context
 
 STATUS_BY_REASON = {
     RefusalReason.FAILED: 500,
@@ -46,7 +46,7 @@
     __slots__ = ("registry", "link", "invite", "_state", "_lock")
 
     def __init__(self, registry: TransactionRegistry, link: CallerLink, invite: Message) -> None:
-        self.registry, self.link, self.invite = registry, link, invite
+        self.registry, self.link, self.invite = registry, link, response_context(invite)
         self._state, self._lock = TransactionState.OPEN, threading.Lock()
 
     @property
--- a/landingdeal/sip/message.py
+++ b/landingdeal/sip/message.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 MAX_MESSAGE_BYTES = 16 * 1024
+MAX_HEADER_LINES = 256  # a decoded header takes many times its bytes, so a head of short ones is bounded
 TOO_LARGE = "over 16 KiB"
 COMPACT_HEADER_NAMES = {
     "v": "via", "f": "from", "t": "to", "i": "call-id", "m": "contact", "l": "content-length",
     "s": "subject", "c": "content-type", "k": "supported", "e": "content-encoding",
 }  # fmt: skip
 METHOD_CHARACTERS = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-.!%*_+`'~")
+COPIED_HEADERS = ("via", "from", "to", "call-id", "cseq")  # from a request to its responses
 REASON_PHRASES = {
     100: "Trying", 180: "Ringing", 200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
     405: "Method Not Allowed", 408: "Request Timeout", 416: "Unsupported URI Scheme",
@@ -84,11 +87,7 @@
     answered_request: Message, status: int, *extra_headers: tuple[str, str], body: bytes = b""
 ) -> Message:
     """Makes the response to a request; Via, From, To, Call-ID and CSeq are copied (RFC 3261 8.2.6.2)."""
-    copied = tuple(
-        (name, value)
-        for name, value in answered_request.headers
-        if name in ("via", "from", "to", "call-id", "cseq")
-    )
+    copied = tuple(header for header in answered_request.headers if header[0] in COPIED_HEADERS)
     return Message(
         status=status,
         reason_phrase=REASON_PHRASES.get(status, "Other"),
@@ -97,6 +96,12 @@
     )
 
 
+def response_context(answered_request: Message) -> Message:
+    """What has to be kept of a request to answer it later: the headers that `response` copies."""
+    copied = tuple(header for header in answered_request.headers if header[0] in COPIED_HEADERS)
+    return Message(answered_request.method, answered_request.uri, headers=copied)
+
+
 _HEADER_SPELLINGS = {"call-id": "Call-ID", "cseq": "CSeq", "www-authenticate": "WWW-Authenticate"}
 
 
@@ -130,9 +135,17 @@
     return tuple(headers), problem
 
 
-def content_length(headers: tuple[tuple[str, str], ...]) -> int | None:
-    """Returns Content-Length; None if there is none, -1 if it is not a length or two headers disagree."""
-    stated = {value for name, value in headers if name == "content-length"}
+_CONTENT_LENGTH = re.compile(
+    rb"\r\n(?:content-length|l)[ \t]*:(.*?)(?=\r\n(?![ \t])|\Z)", re.IGNORECASE | re.DOTALL
+)
+
+
+def content_length(head: bytes) -> int | None:
+    """Returns the Content-Length of an encoded head, without decoding the rest of it.
+
+    None if there is none, -1 if it is not a length or two headers disagree.
+    """
+    stated = {value.strip().decode("latin-1") for value in _CONTENT_LENGTH.findall(head)}
     if not stated:
         return None
     value = stated.pop()
@@ -168,14 +181,17 @@
 
 
 def _parse_headers(head: bytes) -> tuple[tuple[tuple[str, str], ...], str]:
-    return _parse_header_lines(head.decode("utf-8", "surrogateescape").split("\r\n")[1:])
+    """Returns the headers, at most `MAX_HEADER_LINES` of them, and the first problem (empty if none)."""
+    lines = head.decode("utf-8", "surrogateescape").split("\r\n", MAX_HEADER_LINES + 1)[1:]
+    headers, problem = _parse_header_lines(lines[:MAX_HEADER_LINES])
+    return headers, problem if len(lines) <= MAX_HEADER_LINES else "too many header fields"
 
 
 def decode_datagram(data: bytes) -> Message | MalformedMessage:
     """Parses one datagram; bytes after Content-Length are dropped, a shorter body is malformed (18.3)."""
     head, separator, body = data.lstrip(b"\r\n").partition(b"\r\n\r\n")
     headers, problem = _parse_headers(head)
-    length = content_length(headers)
+    length = content_length(head)
     if length is None:
         length = len(body)
     if not separator or length < 0 or length > len(body):
@@ -184,32 +200,49 @@
 
 
 class Framer:
-    """Splits a stream into messages by Content-Length."""
+    """Splits a stream into messages by Content-Length. A message is decoded once, when it is complete."""
 
     def __init__(self) -> None:
         self.buffer = b""
+        self._head_end = -1  # of the message that the buffer begins with; -1: its head is not complete
+        self._message_size = 0  # of that message, once its head is complete
+        self._searched = 0  # so many bytes of the buffer have no end of a head
 
     def feed(self, data: bytes) -> Iterator[Message | MalformedMessage]:
         """Adds received bytes and yields complete messages; raises FramingError if it loses the framing."""
         self.buffer += data
-        while True:
+        while self._head_is_complete() and len(self.buffer) >= self._message_size:
+            yield self._take_message()
+
+    def _head_is_complete(self) -> bool:
+        if self._head_end >= 0:
+            return True
+        if not self._searched:
             self.buffer = self.buffer.lstrip(b"\r\n")
-            end = self.buffer.find(b"\r\n\r\n")
-            if end < 0:
-                if len(self.buffer) > MAX_MESSAGE_BYTES:
-                    raise FramingError("a message head over 16 KiB")
-                return
-            head = self.buffer[:end]
-            headers, problem = _parse_headers(head)
-            length = content_length(headers)
-            if length is None or length < 0:
-                raise FramingError("no usable Content-Length")
-            total = end + 4 + length
-            if total > MAX_MESSAGE_BYTES:
-                parsed = _parse_message(head, headers, problem, b"")
-                message = parsed.message if isinstance(parsed, MalformedMessage) else parsed
-                raise OversizedMessage(MalformedMessage(TOO_LARGE, message), total - len(self.buffer))
-            if len(self.buffer) < total:
-                return
-            body, self.buffer = self.buffer[end + 4 : total], self.buffer[total:]
-            yield _parse_message(head, headers, problem, body)
+        self._head_end = self.buffer.find(b"\r\n\r\n", max(self._searched - 3, 0))
+        if self._head_end < 0:
+            self._searched = len(self.buffer)
+            if self._searched > MAX_MESSAGE_BYTES:
+                raise FramingError("a message head over 16 KiB")
+            return False
+        head = self.buffer[: self._head_end]
+        length = content_length(head)
+        if length is None or length < 0:
+            raise FramingError("no usable Content-Length")
+        self._message_size = self._head_end + 4 + length
+        if self._message_size > MAX_MESSAGE_BYTES:
+            raise self._oversized(head)
+        return True
+
+    def _oversized(self, head: bytes) -> OversizedMessage:
+        parsed = _parse_message(head, *_parse_headers(head), b"")
+        message = parsed.message if isinstance(parsed, MalformedMessage) else parsed
+        remaining_bytes = self._message_size - len(self.buffer)
+        return OversizedMessage(MalformedMessage(TOO_LARGE, message), remaining_bytes)
+
+    def _take_message(self) -> Message | MalformedMessage:
+        """Removes the complete message that the buffer begins with."""
+        head, body = self.buffer[: self._head_end], self.buffer[self._head_end + 4 : self._message_size]
+        self.buffer = self.buffer[self._message_size :]
+        self._head_end, self._searched = -1, 0
+        return _parse_message(head, *_parse_headers(head), body)
