Connections: incomplete messages of all connections have one bound

Nothing but the number of connections bounded it. Change: ByteBudget counts the bytes of messages that are not complete, over all connections of both fronts, 4 MiB at most; above it the connection that holds most is not read any further, and set-ups that came there are answered first. The buffer for discarding an oversized message is a quarter of what it was. The listening socket has a module of its own.

--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -13,7 +13,8 @@
 from landingdeal.core.events import CallerReleased, CallerStreamBroken, SetUpCancelled
 from landingdeal.core.lifecycle import IdleConnection, Lifecycle, connections_to_close, may_close
 from landingdeal.log import log_event
-from landingdeal.net.link import Acceptor, CallerLink
+from landingdeal.net.acceptor import Acceptor
+from landingdeal.net.link import CallerLink
 from landingdeal.net.set_up import parse_offer
 from landingdeal.net.transaction import CallerTransaction
 from landingdeal.sip.headers import ALLOW_HEADER, reason_header
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import itertools
-import os
 import queue
-import select
 import socket
 import struct
 import time
@@ -18,20 +15,23 @@
 from landingdeal.core import steps
 from landingdeal.core.lifecycle import ConnectionState
 from landingdeal.core.pending_send import PendingSend
-from landingdeal.log import log_exception, log_text
+from landingdeal.log import log_exception
+from landingdeal.net.byte_budget import ByteBudget
 from landingdeal.sip.message import Framer, FramingError, MalformedMessage, Message, OversizedMessage, encode
-from landingdeal.threads import start_supervised_thread, start_thread
+from landingdeal.threads import start_thread
 
 NO_DEADLINE = float("inf")
 TCP_CLOSED = 7  # TCP state after a reset; after an orderly close by the peer it is CLOSE_WAIT, 8
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of an oversized message that is refused, then read and dropped
 MAX_QUEUED_MESSAGES = 512  # per connection; a peer that leaves so many messages unread is disconnected
+MAX_QUEUED_BYTES = 1024 * 1024  # the same, for its bytes
+MAX_QUEUED_BYTES_IN_ALL = 16 * 1024 * 1024  # of the messages that wait to be sent, over all connections
+MAX_PARTIAL_BYTES_IN_ALL = 4 * 1024 * 1024  # of the messages that are not complete yet, over all connections
 _TCPI_BYTES_RECEIVED = struct.Struct("128xQ")  # field tcpi_bytes_received of struct tcp_info
 _TIMEVAL = struct.Struct("ll")  # struct timeval: seconds and microseconds
 READ_SIZE = 16 * 1024
 THREAD_START_TIMEOUT_MS = 500.0  # a connection that gets no thread by then is closed unread
 CLOSED_BY_PEER_STATES = frozenset({TCP_CLOSED, 8, 9})  # CLOSE_WAIT and LAST_ACK: the peer has closed its side
-ACCEPT_RETRY_MS = 50.0  # pause after the system has run out of descriptors
 
 
 def dial(host: str, port: int, deadline_ms: float) -> socket.socket:
@@ -102,8 +102,15 @@
         self.reset_after_close = False  # the peer has answered the close of this side with a reset
         self.number = next(_link_numbers)  # identifies the connection in the log
         self.close_reason = ""  # why this side closed it; empty if the peer did
+        self.stop_reason = ""  # why no more is read; empty: it is read
         self.handled_bytes = 0  # bytes received whose messages have been handled
 
+    def stop_reading(self, reason: str) -> None:
+        """Ends the reading as a malformed stream does: set-ups that came here are answered first."""
+        self.stop_reason = self.stop_reason or reason
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)  # wakes the reader
+
     def start(self) -> None:
         """Starts both threads; raises RuntimeError if the system still refuses one after the timeout."""
         start_thread("writer", self._write, THREAD_START_TIMEOUT_MS)
@@ -236,6 +243,7 @@
             self.on_end(self, reset)
         except Exception:  # the writer must end and the descriptor be freed all the same
             log_exception()
+        partial_bytes.update(self, 0)
         with contextlib.suppress(queue.Full):  # full: the writer is busy, and its next send fails
             self.send_queue.put_nowait(None)
         self.sock.close()
@@ -264,6 +272,8 @@
             elif due_ms <= now_ms():  # single bytes arrive, so that no recv times out
                 raise BlockingIOError
             data = self.sock.recv(READ_SIZE)
+            if self.stop_reason:
+                raise FramingError(self.stop_reason)
             if not data:
                 # after a close of both sides the TCP state is that of a reset
                 reset = self.alive and not self.finishing and self._reset_by_peer()
@@ -276,6 +286,8 @@
                 completed = True
                 self.on_message(self, message)
             self.handled_bytes += len(data)
+            if was_partial or framer.buffer:
+                self._count_partial_bytes(len(framer.buffer))
             if not framer.buffer:
                 due_ms = NO_DEADLINE if completed else due_ms
             elif completed or not was_partial:
@@ -283,6 +295,11 @@
                     self.last_received_ms + self.MESSAGE_TIMEOUT_MS, NO_DEADLINE if completed else due_ms
                 )
 
+    def _count_partial_bytes(self, held_bytes: int) -> None:
+        largest = partial_bytes.update(self, held_bytes)
+        if largest is not None:
+            largest.stop_reading("incomplete messages take too much memory")
+
     def _stop_reading(self, close_reason: str) -> None:
         self.close_reason = self.close_reason or close_reason
         self._finish_pending_answers()
@@ -310,6 +327,9 @@
         """Handles an oversized message: here the connection just ends."""
 
 
+partial_bytes: ByteBudget[Link] = ByteBudget(MAX_PARTIAL_BYTES_IN_ALL)
+
+
 class CallerLink(Link):
     """A connection from a caller. Each gets a refusal, an error or a close within 3 s."""
 
@@ -343,7 +363,7 @@
         remaining, until, buffer = (
             error.remaining_bytes,
             now_ms() + self.MESSAGE_TIMEOUT_MS,
-            bytearray(4 * READ_SIZE),
+            bytearray(READ_SIZE),
         )
         if remaining > MAX_DISCARDED_BYTES:
             return
@@ -401,66 +421,3 @@
     def unresponsive_for_ms(self, now: float) -> float:
         """For how long set-ups have been sent here without anything being received."""
         return now - self.first_unanswered_ms if self.first_unanswered_ms > self.last_received_ms else 0.0
-
-
-class Acceptor:
-    """Listens on an address and passes each accepted connection to `on_accepted`, in a thread of its own.
-
-    Once `accepts` returns False, connections that the kernel has accepted by then are still passed on; then
-    the listener is closed and `on_closed` called.
-    """
-
-    def __init__(
-        self,
-        host: str,
-        port: int,
-        on_accepted: Callable[[socket.socket], None],
-        accepts: Callable[[], bool] = lambda: True,
-        on_closed: Callable[[], None] = lambda: None,
-    ) -> None:
-        self.on_accepted, self.accepts, self.on_closed = on_accepted, accepts, on_closed
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((host, port))
-        self.listener.listen(512)
-        self.listener.setblocking(False)
-        self.wake_event = os.eventfd(0, os.EFD_NONBLOCK)
-        start_supervised_thread("accept", self._run)
-
-    def wake(self) -> None:
-        """Makes the thread check `accepts` again. May be called from any thread."""
-        os.eventfd_write(self.wake_event, 1)
-
-    def _run(self) -> None:
-        poll = select.poll()
-        poll.register(self.listener, select.POLLIN)
-        poll.register(self.wake_event, select.POLLIN)
-        while self.accepts():
-            poll.poll()
-            with contextlib.suppress(BlockingIOError):
-                os.eventfd_read(self.wake_event)
-            self._accept_pending()
-        self._accept_pending()
-        self.listener.close()
-        self.on_closed()
-
-    def _accept_pending(self) -> None:
-        """Accepts all pending connections; out of descriptors, it pauses and leaves them in the backlog."""
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS):
-                    time.sleep(seconds_until(now_ms() + ACCEPT_RETRY_MS))
-                    return
-                continue  # the peer closed before the accept
-            steps.reached(steps.ACCEPTED)
-            try:
-                sock.setblocking(True)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                self.on_accepted(sock)
-            except Exception as error:  # one failure must not end the accepting of later connections
-                log_text(f"cannot serve an accepted connection: {type(error).__name__} {error}")
-                sock.close()
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -13,7 +13,8 @@
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.core.pending_send import PendingSend
 from landingdeal.log import log_text
-from landingdeal.net.link import Acceptor, Link, dial
+from landingdeal.net.acceptor import Acceptor
+from landingdeal.net.link import Link, dial
 from landingdeal.sip.message import MAX_MESSAGE_BYTES, MalformedMessage, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Flow
 from landingdeal.threads import start_thread
