--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -18,7 +18,7 @@
 from landingdeal.net.set_up import parse_offer
 from landingdeal.net.transaction import CallerTransaction
 from landingdeal.sip.headers import ALLOW_HEADER, reason_header
-from landingdeal.sip.message import TOO_LARGE, MalformedMessage, Message, request, response
+from landingdeal.sip.message import TOO_LARGE, MalformedMessage, Message, request, response, response_context
 
 IDLE_CLOSE_SHARE = 0.4  # of the descriptors, of which callers need a third; above this the idlest are closed
 ACCEPT_SHARE = 0.6  # of the descriptors; above this new connections are closed at once
@@ -200,7 +200,7 @@
             transaction = self.links.get(link, {}).pop(message.call_id, None)
             transaction = transaction or self.answered.get((link, message.call_id))
         if transaction is None:
-            transaction = CallerTransaction(self, link, message)
+            transaction = CallerTransaction(self, link, response_context(message))
         transaction.cancel()
         self.inbox.put(SetUpCancelled(message.call_id, transaction))
 
@@ -216,7 +216,7 @@
         arrived_ms = now_ms()
         if self._is_repeated(link, message.call_id):
             return
-        transaction = CallerTransaction(self, link, message)
+        transaction = CallerTransaction(self, link, response_context(message))
         try:
             offer = parse_offer(message, transaction, arrived_ms, self.max_patience_ms)
         except (ValueError, KeyError):
--- a/landingdeal/net/transaction.py
+++ b/landingdeal/net/transaction.py
@@ -11,7 +11,7 @@
 from landingdeal.core.events import RefusalReason
 from landingdeal.log import log_event
 from landingdeal.net.link import CallerLink
-from landingdeal.sip.message import Message, response, response_context
+from landingdeal.sip.message import Message, response
 
 STATUS_BY_REASON = {
     RefusalReason.FAILED: 500,
@@ -40,13 +40,14 @@
     """Implements `CallerResponder` for one call.
 
     The core, the connection's reader and writer and the main thread may all try to end it; only the first
-    transition succeeds, so that each set-up gets exactly one final answer.
+    transition succeeds, so that each set-up gets exactly one final answer. Of `invite` no more is needed than
+    `response_context` keeps.
     """
 
     __slots__ = ("registry", "link", "invite", "_state", "_lock")
 
     def __init__(self, registry: TransactionRegistry, link: CallerLink, invite: Message) -> None:
-        self.registry, self.link, self.invite = registry, link, response_context(invite)
+        self.registry, self.link, self.invite = registry, link, invite
         self._state, self._lock = TransactionState.OPEN, threading.Lock()
 
     @property
