Connections: answers that wait for peers that do not read have one bound in bytes

Cause: each connection may queue 512 messages, and only their number was bounded. Change: the queued bytes of all connections are bounded at 16 MiB; above it the connection that holds most is closed.

--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -24,7 +24,6 @@
 TCP_CLOSED = 7  # TCP state after a reset; after an orderly close by the peer it is CLOSE_WAIT, 8
 MAX_DISCARDED_BYTES = 64 * 1024 * 1024  # of an oversized message that is refused, then read and dropped
 MAX_QUEUED_MESSAGES = 512  # per connection; a peer that leaves so many messages unread is disconnected
-MAX_QUEUED_BYTES = 1024 * 1024  # the same, for its bytes
 MAX_QUEUED_BYTES_IN_ALL = 16 * 1024 * 1024  # of the messages that wait to be sent, over all connections
 MAX_PARTIAL_BYTES_IN_ALL = 4 * 1024 * 1024  # of the messages that are not complete yet, over all connections
 _TCPI_BYTES_RECEIVED = struct.Struct("128xQ")  # field tcpi_bytes_received of struct tcp_info
@@ -127,12 +126,18 @@
         """
         if not self.alive or self.finishing:
             return False
+        data = encode(message)
         try:
-            self.send_queue.put_nowait(Outgoing(encode(message), still_wanted))
+            self.send_queue.put_nowait(Outgoing(data, still_wanted))
         except queue.Full:  # bounds the memory; the core never waits for a peer that does not read
             self.close_with_reason("its peer does not read: too many messages wait")
             return False
-        return True
+        largest = queued_bytes.add(self, len(data))
+        if not self.alive:
+            queued_bytes.update(self, 0)
+        if largest is not None:
+            largest.close_with_reason("its peer does not read: too many bytes wait in all")
+        return largest is not self
 
     @property
     def finishing(self) -> bool:
@@ -207,6 +212,7 @@
                 if outgoing.still_wanted is None or outgoing.still_wanted():
                     self.sock.sendall(outgoing.data)
                 self.send_queue.task_done()
+                queued_bytes.add(self, -len(outgoing.data))
             except BlockingIOError:
                 self.close_reason = self.close_reason or "its peer does not read"
                 break
@@ -214,6 +220,14 @@
                 self.writer_failed = self.alive  # the reader may then not see the reset itself
                 break
         self.close()
+        self._drop_queued()
+
+    def _drop_queued(self) -> None:
+        """Frees what will never be sent."""
+        with contextlib.suppress(queue.Empty):
+            while True:
+                self.send_queue.get_nowait()
+        queued_bytes.update(self, 0)
 
     def _end_sending(self) -> None:
         with contextlib.suppress(OSError):  # the reader sees how the connection has ended
@@ -244,6 +258,7 @@
         except Exception:  # the writer must end and the descriptor be freed all the same
             log_exception()
         partial_bytes.update(self, 0)
+        queued_bytes.update(self, 0)
         with contextlib.suppress(queue.Full):  # full: the writer is busy, and its next send fails
             self.send_queue.put_nowait(None)
         self.sock.close()
@@ -328,6 +343,7 @@
 
 
 partial_bytes: ByteBudget[Link] = ByteBudget(MAX_PARTIAL_BYTES_IN_ALL)
+queued_bytes: ByteBudget[Link] = ByteBudget(MAX_QUEUED_BYTES_IN_ALL)
 
 
 class CallerLink(Link):
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -5,12 +5,14 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 
 import pytest
 
 from landingdeal.core.events import CallerStreamBroken, RefusalReason
 from landingdeal.net import link as link_module
 from landingdeal.net.byte_budget import ByteBudget
+from landingdeal.sip.message import encode, request
 from tests.rig.front import CallerHarness
 from tests.scenario import TIMEOUT_S
 from tests.sip_front import InProcessFront
@@ -103,3 +105,52 @@
         sock.close()
     wait_for(lambda: partial_bytes.total_bytes == 0)
     front.close_parties()
+
+
+LARGE_VIA = "SIP/2.0/TCP 127.0.0.1:9;branch=z9hG4bKa;x=" + "p" * 12_000
+DEAF_CLIENTS = 12
+
+
+def ask_without_reading(address: tuple[str, int]) -> list[socket.socket]:
+    """Connections that ask for large responses until nothing is taken any more, and read none of them."""
+    asked = encode(
+        request(
+            "OPTIONS", "sip:ping@net", ("via", LARGE_VIA), ("call-id", "1"), ("cseq", "1 OPTIONS"),
+            ("from", "<sip:a@127.0.0.1>;tag=a"), ("to", "<sip:b@127.0.0.1>"),
+        )
+    )  # fmt: skip
+    socks = []
+    for _ in range(DEAF_CLIENTS):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(address)
+        sock.setblocking(False)
+        with suppress(OSError):
+            for _ in range(100):
+                sock.sendall(asked)
+        socks.append(sock)
+    return socks
+
+
+@pytest.mark.parametrize("on_platform", [True, False])
+def test_answers_that_nobody_reads_stay_within_one_bound(
+    on_platform: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    bound_bytes, peak_bytes = 1_000_000, 0
+    budget: ByteBudget[link_module.Link] = ByteBudget(bound_bytes)
+    monkeypatch.setattr(link_module, "queued_bytes", budget)
+    harness: CallerHarness | InProcessFront = CallerHarness() if on_platform else InProcessFront("tcp")
+    address = harness.address if isinstance(harness, CallerHarness) else ("127.0.0.1", harness.port)
+    socks = ask_without_reading(address)
+    until = time.monotonic() + 1.0
+    while time.monotonic() < until:
+        peak_bytes = max(peak_bytes, budget.total_bytes)
+        time.sleep(0.002)
+    assert 0 < peak_bytes <= bound_bytes
+    for sock in socks:
+        sock.close()
+    wait_for(lambda: budget.total_bytes == 0)
+    if isinstance(harness, CallerHarness):
+        harness.end()
+    else:
+        harness.close_parties()
