Both fronts: one client at full speed leaves the others their answers

Cause: nothing shared the work among peers. On SIP each request kept a transaction for 32 s, the table of 8,192 and the queue of 8,192 were full for all, and a full queue closed whichever connection came next; a timer kept its message until due. Change: a token bucket for each connection (it is read more slowly) and each UDP source (excess is dropped before decoding; all new sources share one); a reader waits for a peer that does not read; ReceiveBacklog bounds messages and bytes, and takes from the sources in turn, lab hubs first; requests whose repetition changes nothing are answered without state, with a derived To tag (RFC 3261, 8.2.7); TransactionLimits bounds transactions by source and bytes; timers end with their owner.

--- a/landingdeal/capture/replay.py
+++ b/landingdeal/capture/replay.py
@@ -25,9 +25,9 @@
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.pending_send import PendingSend
 from landingdeal.net.link import Link, connect
-from landingdeal.sip.loop import EventLoop, Work
+from landingdeal.sip.loop import EventLoop, ScheduledWork, Work
 from landingdeal.sip.message import MalformedMessage, Message, decode_datagram, encode
-from landingdeal.sip.transaction import Timing
+from landingdeal.sip.transaction import Timing, Transaction
 from landingdeal.threads import start_thread
 
 SAVE_AHEAD_MS = 1000.0  # calls due within this time are recorded in the state file before they are sent
@@ -188,12 +188,15 @@
 
     # --- time and timers for the SIP transactions ---
 
-    def schedule_at(self, deadline_ms: float, work: Work) -> None:
-        self.loop.schedule_at(deadline_ms, work)
+    def schedule_at(self, deadline_ms: float, work: Work) -> ScheduledWork:
+        return self.loop.schedule_at(deadline_ms, work)
 
     def now(self) -> float:
         return self.loop.now()
 
+    def request_dropped(self, transaction: Transaction) -> None:
+        pass  # it has no server transactions that could be many
+
     def transaction_terminated(self, transaction: object) -> None:
         pass  # transactions are forgotten together with their call
 
--- /dev/null
+++ b/landingdeal/lab/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Hostile clients beside sound callers, against one process that is started as the platform does."""
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -15,8 +15,9 @@
 from landingdeal.core import steps
 from landingdeal.core.lifecycle import ConnectionState
 from landingdeal.core.pending_send import PendingSend
-from landingdeal.log import log_exception
+from landingdeal.log import log_event, log_exception
 from landingdeal.net.byte_budget import ByteBudget
+from landingdeal.net.receive_limiter import ReceiveLimiter, units_of
 from landingdeal.sip.message import Framer, FramingError, MalformedMessage, Message, OversizedMessage, encode
 from landingdeal.threads import start_thread
 
@@ -26,6 +27,8 @@
 MAX_QUEUED_MESSAGES = 512  # per connection; a peer that leaves so many messages unread is disconnected
 MAX_QUEUED_BYTES_IN_ALL = 16 * 1024 * 1024  # of the messages that wait to be sent, over all connections
 MAX_PARTIAL_BYTES_IN_ALL = 4 * 1024 * 1024  # of the messages that are not complete yet, over all connections
+MAX_UNSENT_MESSAGES, MAX_UNSENT_BYTES = 64, 64 * 1024  # of a caller; with more it is not read any further
+UNSENT_POLL_MS = 5.0
 _TCPI_BYTES_RECEIVED = struct.Struct("128xQ")  # field tcpi_bytes_received of struct tcp_info
 _TIMEVAL = struct.Struct("ll")  # struct timeval: seconds and microseconds
 READ_SIZE = 16 * 1024
@@ -90,8 +93,10 @@
         sock: socket.socket,
         on_message: Callable[[Link, Message | MalformedMessage], None],
         on_end: Callable[[Link, bool], None],
+        limiter: ReceiveLimiter | None = None,
     ) -> None:
-        self.sock = sock
+        """With `limiter`, a peer that sends more than it allows is read more slowly."""
+        self.sock, self.limiter = sock, limiter
         self.on_message, self.on_end = on_message, on_end
         self.send_queue: queue.Queue[Outgoing | EndOfSending | None] = queue.Queue(MAX_QUEUED_MESSAGES)
         self.last_received_ms = self.opened_ms = now_ms()
@@ -101,6 +106,7 @@
         self.reset_after_close = False  # the peer has answered the close of this side with a reset
         self.number = next(_link_numbers)  # identifies the connection in the log
         self.close_reason = ""  # why this side closed it; empty if the peer did
+        self.paused = False  # it was read slowly at least once
         self.stop_reason = ""  # why no more is read; empty: it is read
         self.handled_bytes = 0  # bytes received whose messages have been handled
 
@@ -300,6 +306,7 @@
             for message in framer.feed(data):
                 completed = True
                 self.on_message(self, message)
+                self._pause_after(message)
             self.handled_bytes += len(data)
             if was_partial or framer.buffer:
                 self._count_partial_bytes(len(framer.buffer))
@@ -310,6 +317,27 @@
                     self.last_received_ms + self.MESSAGE_TIMEOUT_MS, NO_DEADLINE if completed else due_ms
                 )
 
+    def _pause_after(self, message: Message | MalformedMessage) -> None:
+        pause_ms = self.limiter.pause_ms(units_of(message), now_ms()) if self.limiter is not None else 0.0
+        if pause_ms > 0:
+            if not self.paused:
+                log_event("connection_read_slowly", link=self.number)
+            self.paused = True
+            time.sleep(seconds_until(now_ms() + pause_ms))
+        if self.limiter is not None:
+            self._wait_for_reading_peer()
+
+    def _wait_for_reading_peer(self) -> None:
+        """Reads no further while much waits to be sent to a peer that asks faster than it reads."""
+        while (
+            self.alive
+            and not self.stop_reason
+            and (
+                self.send_queue.qsize() > MAX_UNSENT_MESSAGES or queued_bytes.held_by(self) > MAX_UNSENT_BYTES
+            )
+        ):
+            time.sleep(seconds_until(now_ms() + UNSENT_POLL_MS))
+
     def _count_partial_bytes(self, held_bytes: int) -> None:
         largest = partial_bytes.update(self, held_bytes)
         if largest is not None:
@@ -363,7 +391,12 @@
         on_unreadable: Callable[[CallerLink], None],
         unanswered: Callable[[CallerLink], int],
     ) -> None:
-        super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
+        super().__init__(
+            sock,
+            lambda _, message: on_message(self, message),
+            lambda _, reset: on_end(self, reset),
+            ReceiveLimiter(now_ms()),
+        )
         self.on_unreadable, self.unanswered = on_unreadable, unanswered
 
     def _finish_pending_answers(self) -> None:
--- a/landingdeal/sip/dialog_layer.py
+++ b/landingdeal/sip/dialog_layer.py
@@ -154,7 +154,7 @@
                 transaction.respond(self._make_response(message, 200))  # BYE of an early dialog (15)
                 self.abandon_call(early_calls[0])
                 return
-            transaction.respond(self._make_response(message, 481))
+            transaction.respond_once(self._make_response(message, 481))
             return
         sequence_number = message.cseq[0]
         if sequence_number <= side.dialog.remote_sequence_number:  # out of order or repeated (12.2.2)
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import ipaddress
 import random
 from collections.abc import Callable
@@ -23,16 +24,16 @@
     parse_via,
     top_via,
 )
+from landingdeal.sip.backlog import ReceiveBacklog
 from landingdeal.sip.call import SipConfig
 from landingdeal.sip.dialog import Dialog
-from landingdeal.sip.loop import EventLoop, Work
+from landingdeal.sip.loop import EventLoop, ScheduledWork, Work
 from landingdeal.sip.message import MalformedMessage, Message, response
 from landingdeal.sip.response_flow import ResponseFlow, with_source_address
 from landingdeal.sip.transaction import ClientTransaction, Flow, ServerTransaction, Transaction
+from landingdeal.sip.transaction_limits import TransactionLimits, TransactionShare
 from landingdeal.sip.transport import ReceivedMessage, Tap, TcpFlow, TransportLayer
 
-MAX_SERVER_TRANSACTIONS = 8192
-
 ResponseHandler = Callable[[Message], None]
 
 
@@ -43,11 +44,20 @@
         self.config = config
         self.timing = config.timing
         self.random = random.Random(seed)
+        self.tag_key = self.random.randbytes(16)
         self.event_loop = EventLoop()
+        self.backlog: ReceiveBacklog[ReceivedMessage] = ReceiveBacklog()
         self.transport_layer = TransportLayer(
-            config.host, config.port, self.message_received, self.flow_ended, lifecycle, tap
+            config.host,
+            config.port,
+            self.message_received,
+            self.flow_ended,
+            lifecycle,
+            tap,
+            frozenset((hub.transport, hub.host, hub.port) for hub in config.hubs),
         )
         self.server_transactions: dict[str, ServerTransaction] = {}
+        self.transaction_limits = TransactionLimits()
         self.client_transactions: dict[str, ClientTransaction] = {}
         self.unmatched_responses = 0
 
@@ -69,15 +79,19 @@
 
     # --- TransactionServices ---
 
-    def schedule_at(self, deadline_ms: float, work: Work) -> None:
-        self.event_loop.schedule_at(deadline_ms, work)
+    def schedule_at(self, deadline_ms: float, work: Work) -> ScheduledWork:
+        return self.event_loop.schedule_at(deadline_ms, work)
 
     def now(self) -> float:
         return self.event_loop.now()
 
+    def request_dropped(self, transaction: Transaction) -> None:
+        self.transaction_limits.request_dropped(transaction.key)
+
     def transaction_terminated(self, transaction: Transaction) -> None:
         if isinstance(transaction, ServerTransaction):
             self.server_transactions.pop(transaction.key, None)
+            self.transaction_limits.remove(transaction.key)
             self.server_transaction_terminated(transaction.key)
         else:
             self.client_transactions.pop(transaction.key, None)
@@ -85,10 +99,15 @@
     # --- called in reader threads ---
 
     def message_received(self, received: ReceivedMessage) -> None:
-        if self.event_loop.has_room():
-            self.event_loop.post(lambda: self._handle_message(received))
-        elif isinstance(received.flow, TcpFlow) and received.flow.link is not None:
-            received.flow.link.close()  # limits memory: single messages of a stream can't be dropped
+        """Queues a message for the event loop; a reader of a connection waits until there is room for it."""
+        source, size = (received.host, received.port), received.size
+        if received.is_from_hub and self.backlog.try_put_from_hub(received, size):
+            pass
+        elif not received.may_be_dropped:
+            self.backlog.put(source, received, size)
+        elif not self.backlog.try_put(source, received, size):
+            return
+        self.event_loop.post(self._handle_next_message)
 
     def flow_ended(self, flow: TcpFlow) -> None:
         self.event_loop.post(lambda: self.flow_lost(flow))
@@ -98,6 +117,13 @@
     def _new_tag(self) -> str:
         return f"{self.random.getrandbits(48):012x}"
 
+    def _derived_tag(self, answered_request: Message) -> str:
+        """A To tag for a response without state: the same for each repetition of the request (8.2.7)."""
+        names = ("via", "from", "call-id", "cseq")
+        text = "\0".join(answered_request.get(name) for name in names)
+        digest = hashlib.blake2b(text.encode("utf-8", "surrogateescape"), key=self.tag_key, digest_size=6)
+        return digest.hexdigest()
+
     def _new_via(self, flow: Flow) -> str:
         branch = f"{MAGIC_COOKIE}{self.random.getrandbits(64):016x}"
         return f"SIP/2.0/{flow.transport} {self.config.host}:{self.config.port};branch={branch};rport"
@@ -121,7 +147,7 @@
         headers = tuple(
             (
                 name,
-                f"{value};tag={local_tag or self._new_tag()}"
+                f"{value};tag={local_tag or self._derived_tag(answered_request)}"
                 if name == "to" and ";tag=" not in value.lower()
                 else value,
             )
@@ -131,6 +157,11 @@
 
     # --- received messages ---
 
+    def _handle_next_message(self) -> None:
+        received = self.backlog.take()
+        if received is not None:
+            self._handle_message(received)
+
     def _handle_message(self, received: ReceivedMessage) -> None:
         message = received.message
         if isinstance(message, MalformedMessage):
@@ -186,11 +217,13 @@
         if existing is not None:
             existing.retransmit_response()
             return
-        if len(self.server_transactions) >= MAX_SERVER_TRANSACTIONS:
+        share = TransactionShare((received.host, received.port), received.size)
+        if not self.transaction_limits.admits(share):
             flow.send(self._make_response(message, 503, ("retry-after", "2")))
             return
         transaction = ServerTransaction(self, flow, message, f"{key}|{message.method}")
         self.server_transactions[transaction.key] = transaction
+        self.transaction_limits.add(transaction.key, share)
         self.new_request(transaction, key, recipient.tag, received.flow)
 
     @staticmethod
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -126,19 +126,19 @@
         message = transaction.request
         required = message.get("require")
         if message.method not in ("INVITE", "CANCEL", "BYE", "OPTIONS"):
-            transaction.respond(self._make_response(message, 405, ALLOW_HEADER))
+            transaction.respond_once(self._make_response(message, 405, ALLOW_HEADER))
         elif required and message.method != "CANCEL":
-            transaction.respond(self._make_response(message, 420, ("unsupported", required)))
+            transaction.respond_once(self._make_response(message, 420, ("unsupported", required)))
         elif message.method == "CANCEL":
             self._handle_cancel(transaction, branch_key)
         elif to_tag:
             self._handle_in_dialog_request(transaction, to_tag, flow)
         elif message.method == "OPTIONS":
-            transaction.respond(
+            transaction.respond_once(
                 self._make_response(message, 200, ALLOW_HEADER, ("accept", "application/sdp"))
             )
         elif message.method == "BYE":
-            transaction.respond(self._make_response(message, 481))
+            transaction.respond_once(self._make_response(message, 481))
         else:
             self._handle_invite(transaction, flow)
 
@@ -219,7 +219,7 @@
     def _handle_cancel(self, transaction: ServerTransaction, branch_key: str) -> None:
         invite = self.server_transactions.get(f"{branch_key}|INVITE")
         if invite is None:
-            transaction.respond(self._make_response(transaction.request, 481))
+            transaction.respond_once(self._make_response(transaction.request, 481))
             return
         call = self.early_calls.get(invite.key)
         transaction.respond(
--- a/landingdeal/sip/loop.py
+++ b/landingdeal/sip/loop.py
@@ -12,31 +12,50 @@
 from landingdeal.log import log_exception
 from landingdeal.threads import start_thread
 
-MAX_QUEUED_WORK = 8192  # with more work items queued, received messages are dropped
 MAX_IDLE_WAIT_MS = 1000.0
 
 Work = Callable[[], None]
 
 
+class ScheduledWork:
+    """Work that a timer runs once, unless it is cancelled before; what it refers to is free from then on."""
+
+    __slots__ = ("_work",)
+
+    def __init__(self, work: Work) -> None:
+        self._work: Work | None = work
+
+    @property
+    def pending(self) -> bool:
+        """Whether it has neither run nor been cancelled."""
+        return self._work is not None
+
+    def cancel(self) -> None:
+        self._work = None
+
+    def __call__(self) -> None:
+        work, self._work = self._work, None
+        if work is not None:
+            work()
+
+
 class EventLoop:
     """Runs posted work and due timers in its own thread."""
 
     def __init__(self) -> None:
         self.queue: queue.SimpleQueue[Work] = queue.SimpleQueue()
-        self.timers: list[tuple[float, int, Work]] = []
+        self.timers: list[tuple[float, int, ScheduledWork]] = []
         self.timer_sequence = itertools.count()
 
     def post(self, work: Work) -> None:
         """Queues work; may be called from any thread."""
         self.queue.put(work)
 
-    def has_room(self) -> bool:
-        """Whether the queue takes work for another received message."""
-        return self.queue.qsize() < MAX_QUEUED_WORK
-
-    def schedule_at(self, deadline_ms: float, work: Work) -> None:
+    def schedule_at(self, deadline_ms: float, work: Work) -> ScheduledWork:
         """Schedules work; may only be called from the thread of the loop."""
-        heapq.heappush(self.timers, (deadline_ms, next(self.timer_sequence), work))
+        scheduled = ScheduledWork(work)
+        heapq.heappush(self.timers, (deadline_ms, next(self.timer_sequence), scheduled))
+        return scheduled
 
     def now(self) -> float:
         return now_ms()
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -12,7 +12,8 @@
 from typing import Protocol
 
 from landingdeal.core.pending_send import PendingSend
-from landingdeal.sip.message import Message, request, response
+from landingdeal.sip.loop import ScheduledWork
+from landingdeal.sip.message import Message, request, response, response_context
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,12 +67,15 @@
 
     timing: Timing
 
-    def schedule_at(self, deadline_ms: float, work: Callable[[], None]) -> None: ...
+    def schedule_at(self, deadline_ms: float, work: Callable[[], None]) -> ScheduledWork: ...
 
     def now(self) -> float: ...
 
     def transaction_terminated(self, transaction: Transaction) -> None: ...
 
+    def request_dropped(self, transaction: Transaction) -> None:
+        """Called when a server transaction keeps no more of its request than its responses need."""
+
 
 class SipTransactionState(Enum):
     CALLING = "calling"  # also stands for Trying of a non-INVITE client transaction
@@ -90,6 +94,12 @@
         self.services, self.flow, self.request, self.key = services, flow, message, key
         self.state = SipTransactionState.CALLING
         self.timing = services.timing
+        self._timers: list[ScheduledWork] = []
+
+    def schedule_at(self, deadline_ms: float, work: Callable[[], None]) -> None:
+        """Starts a timer of this transaction, which ends with it."""
+        scheduled = self.services.schedule_at(deadline_ms, work)
+        self._timers = [*(timer for timer in self._timers if timer.pending), scheduled]
 
     def deadline_after(self, interval: float) -> float:
         """Returns the deadline of a timer that starts now."""
@@ -109,12 +119,15 @@
         if deadline_ms <= self.services.now():
             self.terminate()
         else:
-            self.services.schedule_at(deadline_ms, on_timer)
+            self.schedule_at(deadline_ms, on_timer)
 
     def terminate(self) -> None:
         """Ends the transaction and notifies its owner, once."""
         if self.state is not SipTransactionState.TERMINATED:
             self.state = SipTransactionState.TERMINATED
+            for timer in self._timers:  # what they refer to would stay in memory until they are due
+                timer.cancel()
+            self._timers = []
             self.services.transaction_terminated(self)
 
     def schedule_retransmits(
@@ -133,7 +146,7 @@
                     min(2 * interval, max_interval), max_interval, while_in_states, send
                 )
 
-        self.services.schedule_at(self.deadline_after(interval), on_timer)
+        self.schedule_at(self.deadline_after(interval), on_timer)
 
 
 class ServerTransaction(Transaction):
@@ -178,6 +191,9 @@
         self._send_response(message)
         if message.status < 200:
             return True
+        if message.status >= 300 or not self.is_invite:
+            self.request = response_context(self.request)
+            self.services.request_dropped(self)
         if not self.is_invite:
             self.state = SipTransactionState.COMPLETED
             self.terminate_at(
@@ -198,6 +214,14 @@
             self.terminate_at(self.deadline_after(self.timing.transaction_timeout))  # timer H
         return True
 
+    def respond_once(self, message: Message) -> None:
+        """Sends the final response and ends at once; a repeated request is answered anew (8.2.7).
+
+        For requests whose repetition changes nothing: no state is kept for them.
+        """
+        self._send_response(message)
+        self.terminate()
+
     def ack_received(self) -> None:
         """Takes the ACK of a final response other than 2xx."""
         if self.is_invite and self.state is SipTransactionState.COMPLETED:
@@ -240,7 +264,7 @@
             )
             self.schedule_retransmits(self.timing.t1, max_interval, retransmit_states, self._retransmit)
         # timer B, or F
-        self.services.schedule_at(self.deadline_after(self.timing.transaction_timeout), self._timed_out)
+        self.schedule_at(self.deadline_after(self.timing.transaction_timeout), self._timed_out)
         return accepted
 
     def abandon(self) -> bool:
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -12,9 +12,10 @@
 from landingdeal.clock import now_ms
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.core.pending_send import PendingSend
-from landingdeal.log import log_text
+from landingdeal.log import log_event, log_text
 from landingdeal.net.acceptor import Acceptor
 from landingdeal.net.link import Link, dial
+from landingdeal.net.receive_limiter import DatagramSources, ReceiveLimiter
 from landingdeal.sip.message import MAX_MESSAGE_BYTES, MalformedMessage, Message, decode_datagram, encode
 from landingdeal.sip.transaction import Flow
 from landingdeal.threads import start_thread
@@ -22,6 +23,7 @@
 DIAL_TIMEOUT_MS = 2000.0
 MAX_QUEUED_MESSAGES = 64  # messages that wait for one connection to be established
 MAX_CONNECTIONS = 400
+UDP_BUFFER_BYTES = 4 * 1024 * 1024  # asked for; the system may give less
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,18 @@
     host: str
     port: int
     flow: Flow
+    is_from_hub: bool = False
+
+    @property
+    def may_be_dropped(self) -> bool:
+        """Whether its sender repeats it: it is a datagram."""
+        return isinstance(self.flow, UdpFlow)
+
+    @property
+    def size(self) -> int:
+        """About the number of its bytes."""
+        message = self.message.message if isinstance(self.message, MalformedMessage) else self.message
+        return len(message.uri) + len(message.body) + sum(len(n) + len(v) for n, v in message.headers)
 
 
 class Tap(Protocol):
@@ -86,7 +100,8 @@
     transport = "TCP"
     reliable = True
 
-    def __init__(self, host: str, port: int, tap: Tap | None = None) -> None:
+    def __init__(self, host: str, port: int, tap: Tap | None = None, dialled: bool = False) -> None:
+        """`dialled`: this side opens the connection."""
         self.host, self.port, self.tap = host, port, tap
         self.local: tuple[str, int] = ("", 0)
         self.lock = threading.Lock()
@@ -94,6 +109,7 @@
         self.queued: list[QueuedMessage] = []
         self.alive = True
         self.was_connected = False
+        self.dialled = dialled
 
     def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         queued = QueuedMessage(message, pending)
@@ -144,14 +160,20 @@
         on_flow_ended: Callable[[TcpFlow], None],
         lifecycle: Lifecycle,
         tap: Tap | None = None,
+        hubs: frozenset[tuple[str, str, int]] = frozenset(),
     ) -> None:
+        """`hubs` are the transports and addresses of lab hubs, whose messages are not limited."""
         self.host, self.port, self.lifecycle = host, port, lifecycle
+        self.hubs = hubs
+        udp_hubs = frozenset((host, port) for transport, host, port in hubs if transport == "UDP")
+        self.sources = DatagramSources(now_ms(), udp_hubs)
         self.on_received, self.on_flow_ended, self.tap = on_received, on_flow_ended, tap
         self.lock = threading.Lock()
         self.flows: dict[Link, TcpFlow] = {}
         self.outgoing: dict[tuple[str, int], TcpFlow] = {}
-        self.oversized_datagrams = 0
+        self.oversized_datagrams = self.dropped_datagrams = 0
         self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.udp.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UDP_BUFFER_BYTES)
         self.udp.bind((host, port))
 
     def start(self) -> None:
@@ -182,7 +204,7 @@
             flow = self.outgoing.get((host, port))
             if flow is not None and flow.alive:
                 return flow
-            flow = self.outgoing[host, port] = TcpFlow(host, port, self.tap)
+            flow = self.outgoing[host, port] = TcpFlow(host, port, self.tap, dialled=True)
         try:
             start_thread("dial", lambda: self._dial(flow))
         except RuntimeError:  # the system has no thread left
@@ -211,13 +233,16 @@
         if len(self.flows) >= MAX_CONNECTIONS:  # limits the file descriptors
             sock.close()
             return
-        self._start_connection(TcpFlow(host, port, self.tap), sock)
+        self._start_connection(TcpFlow(host, port, self.tap), sock, ReceiveLimiter(now_ms()))
 
-    def _start_connection(self, flow: TcpFlow, sock: socket.socket) -> None:
+    def _start_connection(
+        self, flow: TcpFlow, sock: socket.socket, limiter: ReceiveLimiter | None = None
+    ) -> None:
         link = Link(
             sock,
             lambda _, message: self._message_received(flow, message),
             lambda ended_link, reset: self._connection_ended(flow, ended_link, reset),
+            limiter,
         )
         with self.lock:
             self.flows[link] = flow
@@ -232,7 +257,8 @@
     def _message_received(self, flow: TcpFlow, message: Message | MalformedMessage) -> None:
         if self.tap is not None and isinstance(message, Message):
             self.tap.message_passed("TCP", (flow.host, flow.port), flow.local, message)
-        self.on_received(ReceivedMessage(message, flow.host, flow.port, flow))
+        is_from_hub = flow.dialled and ("TCP", flow.host, flow.port) in self.hubs
+        self.on_received(ReceivedMessage(message, flow.host, flow.port, flow, is_from_hub))
 
     def _connection_ended(self, flow: TcpFlow, link: Link, reset: bool) -> None:
         flow.alive = False
@@ -254,13 +280,20 @@
                 continue  # an ICMP error for an earlier datagram
             if len(data) > MAX_MESSAGE_BYTES:
                 self.oversized_datagrams += 1
-                log_text(
-                    f"UDP {host}:{port}: {len(data)} bytes exceed 16 KiB ({self.oversized_datagrams} so far)"
+                log_event(
+                    "oversized_datagram",
+                    host=host,
+                    port=port,
+                    bytes=len(data),
+                    count=self.oversized_datagrams,
                 )
+            elif not self.sources.admit((host, port), data, now_ms()):
+                self.dropped_datagrams += 1
+                log_event("datagram_dropped", host=host, port=port, count=self.dropped_datagrams)
             elif data.strip(b"\r\n\0"):  # a keep-alive has no content
                 message = decode_datagram(data)
                 if self.tap is not None and isinstance(message, Message):
                     self.tap.message_passed("UDP", (host, port), (self.host, self.port), message)
-                self.on_received(
-                    ReceivedMessage(message, host, port, UdpFlow(self.udp, host, port, self.tap))
-                )
+                flow = UdpFlow(self.udp, host, port, self.tap)
+                is_from_hub = (host, port) in self.sources.trusted
+                self.on_received(ReceivedMessage(message, host, port, flow, is_from_hub))
