Both fronts: what callers that have left had asked for is not sent on

Cause: the end of a connection was noticed once all before it was read and handled; on SIP a set-up was not bound to it. Change: whoever is about to move a set-up on asks whether its caller has left, by the state of the connection itself: the reader, the core for a new set-up and before each attempt, the SIP front, and the writer right before the first byte. Such a set-up was never written and is refused as harmless; at a half-close all set-ups of the connection are answered. Two tests of the core had a caller that was gone before its set-up came; now it leaves after it, as their names say, and what they check is the same.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -58,6 +58,7 @@
 )
 from landingdeal.core.guard import Guard
 from landingdeal.core.lifecycle import Lifecycle
+from landingdeal.core.pending_send import PendingSend
 from landingdeal.core.request_history import RequestHistory
 from landingdeal.log import log_event, log_exception, log_text
 
@@ -284,6 +285,10 @@
             # the id belongs to another call: this caller must not get that call's answer
             call.refuse(0.0, RefusalReason.FAILED)
             return
+        if offer.caller.has_left():
+            log_event("left", call=offer.call_id, attempts=0)
+            call.refuse(self._retry_after_ms(), self.inbox.refusal_reason(offer.identity))
+            return
         repeat_reason = self.inbox.request_history.refusal_reason(offer.identity)
         if repeat_reason is not None:
             log_event("repeat_refused", call=offer.call_id, why=repeat_reason.value)
@@ -571,10 +576,22 @@
             if attempt is not None:
                 self.hubs.cancel(attempt)
 
+    def _refuse_left(self, call: PendingCall, hub: bytes) -> None:
+        """Ends a call whose caller has left while it waited; the attempt that was decided is not made."""
+        log_event("left", call=call.offer.call_id, attempts=call.attempt_count)
+        call.refuse(self._retry_after_ms(), call.refusal_reason)
+        self._remove_pending(call)
+        self._notify_module(
+            AttemptEnded(call.number, hub, call.attempt_count, AttemptOutcome.NOT_SENT, True, 0.0)
+        )
+
     def _execute_set_up(self, call_number: int, hub: bytes, timeout_ms: float) -> None:
         call = self.pending_by_number.get(call_number)
         if call is None:
             return
+        if call.offer.caller.has_left():
+            self._refuse_left(call, hub)
+            return
         objection = self.guard.objection(call, hub, self.now)
         if objection:
             log_text(f"set-up of call {call.offer.call_id} not sent: {objection}")
@@ -586,7 +603,8 @@
         if timeout_ms > 0:
             attempt_deadline_ms = min(attempt_deadline_ms, self.now + timeout_ms)
         send_ms = max(self.now, call.refused_ms_by_hub.get(hub, 0.0) + DUPLICATE_ANSWER_MS)
-        attempt = Attempt(call.offer, call.attempt_count, hub, send_ms, attempt_deadline_ms)
+        pending_send = PendingSend(lambda: not call.offer.caller.has_left())
+        attempt = Attempt(call.offer, call.attempt_count, hub, send_ms, attempt_deadline_ms, pending_send)
         call.attempt, call.attempt_count, call.early_release = (
             attempt,
             call.attempt_count + 1,
--- a/landingdeal/core/events.py
+++ b/landingdeal/core/events.py
@@ -41,6 +41,13 @@
         """Whether an answer can still be sent: the connection has not ended."""
         ...
 
+    def has_left(self) -> bool:
+        """Whether the caller has ended its connection, also if that is not read yet.
+
+        No set-up is sent for it any more.
+        """
+        ...
+
     def answer(self, description: bytes) -> None:
         """Accepts the call with the hub's session description."""
         ...
--- a/landingdeal/core/pending_send.py
+++ b/landingdeal/core/pending_send.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from enum import Enum
 
 
@@ -23,10 +24,11 @@
 class PendingSend:
     """The state of one message between its sender and the thread that writes it."""
 
-    __slots__ = ("_state", "_lock")
+    __slots__ = ("_state", "_lock", "_wanted")
 
-    def __init__(self) -> None:
-        self._state, self._lock = PendingSendState.WAITING, threading.Lock()
+    def __init__(self, wanted: Callable[[], bool] = lambda: True) -> None:
+        """`wanted` is asked right before the message is written; on False it is withdrawn."""
+        self._state, self._lock, self._wanted = PendingSendState.WAITING, threading.Lock(), wanted
 
     def _transition(self, target: PendingSendState) -> bool:
         with self._lock:
@@ -37,6 +39,8 @@
 
     def claim(self) -> bool:
         """Called by the writer right before it writes; False if the message was withdrawn."""
+        if not self._wanted():
+            self.withdraw()
         return self._transition(PendingSendState.CLAIMED)
 
     def withdraw(self) -> bool:
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -228,7 +228,8 @@
             pending = self.links.get(link, {})
             pending[message.call_id] = transaction
         steps.reached(steps.REGISTERED)
-        if not self.inbox.offer(offer):  # full, or the core has ended: the caller still gets an answer
+        # the caller has left, the inbox is full, or the core has ended: the set-up is not sent, but answered
+        if not link.peer_reachable() or not self.inbox.offer(offer):
             log_event("refused", call=offer.call_id, by="front", closed=self.inbox.closed)
             transaction.refuse(self.retry_after_ms, self.inbox.refusal_reason(offer.identity))
 
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -299,6 +299,8 @@
                 # after a close of both sides the TCP state is that of a reset
                 reset = self.alive and not self.finishing and self._reset_by_peer()
                 self.closed_by_peer = self.alive and not reset and not self.writer_failed
+                if self.closed_by_peer:
+                    self._finish_pending_answers()
                 return reset
             steps.reached(steps.READ)
             self.last_received_ms = now_ms()
@@ -348,7 +350,7 @@
         self._finish_pending_answers()
 
     def _finish_pending_answers(self) -> None:
-        """Hook of the reader's thread for failed reading: received set-ups may still lack an answer."""
+        """Hook of the reader's thread when no more can be read: received set-ups may still lack an answer."""
 
     def _reset_by_peer(self) -> bool:
         """Whether an end that looks orderly was a reset whose error the writer's send has consumed."""
--- a/landingdeal/net/transaction.py
+++ b/landingdeal/net/transaction.py
@@ -68,6 +68,9 @@
     def reachable(self) -> bool:
         return self._state is not TransactionState.CANCELLED and self.link.peer_reachable()
 
+    def has_left(self) -> bool:
+        return not self.reachable()
+
     def answer(self, description: bytes) -> None:
         self._send_final_answer(lambda: response(self.invite, 200, body=description), establishes_call=True)
 
--- a/landingdeal/sip/call.py
+++ b/landingdeal/sip/call.py
@@ -65,6 +65,9 @@
     def reachable(self) -> bool:
         return True  # call keys are unique here, and a response can be sent on a new connection
 
+    def has_left(self) -> bool:
+        return self.call.invite_transaction.flow.peer_has_left
+
     def answer(self, description: bytes) -> None:
         self.operations.event_loop.post(lambda: self.operations.answer_call(self.call, description))
 
--- a/landingdeal/sip/capture.py
+++ b/landingdeal/sip/capture.py
@@ -26,6 +26,7 @@
     alive = True
     was_connected = True
     reliable = True
+    peer_has_left = False
 
     def __init__(
         self, tap: Tap | None, transport: str, local: tuple[str, int], remote: tuple[str, int]
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -292,6 +292,9 @@
             return  # cancelled while this attempt was posted: the core ends it when it handles the CANCEL
         if attempt.pending_send.withdrawn:
             return  # ended by the core while it was posted
+        if call.caller.has_left():
+            self.inbox.put(AttemptFailed(attempt, AttemptOutcome.NOT_SENT))
+            return
         leg = call.legs[attempt.number] = HubLeg(call, attempt, hub)
         flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port)
         invite = call.invite_transaction.request
@@ -343,6 +346,8 @@
         if is_transport_failure(message):
             connected = transaction is None or transaction.flow.was_connected
             outcome = AttemptOutcome.CUT if connected else AttemptOutcome.UNREACHABLE
+            if leg.attempt.pending_send.withdrawn:
+                outcome = AttemptOutcome.NOT_SENT
         elif message.status == 503 and reason is RejectionReason.NONE:
             reason = RejectionReason.PROCESSOR_FULL
         elif message.status in BUSY_STATUSES:
--- a/landingdeal/sip/response_flow.py
+++ b/landingdeal/sip/response_flow.py
@@ -62,6 +62,11 @@
         """Whether the flow that carried the last response is alive."""
         return self.current_flow.alive
 
+    @property
+    def peer_has_left(self) -> bool:
+        """Whether the sender of the request has ended its connection."""
+        return self.request_flow.peer_has_left
+
     def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         if not self.reliable or not self.current_flow.alive:
             self.current_flow = self.flow_to(self.transport, self.host, self.port)
--- a/landingdeal/sip/transaction.py
+++ b/landingdeal/sip/transaction.py
@@ -55,6 +55,10 @@
     @property
     def was_connected(self) -> bool: ...
 
+    # whether the peer has ended the connection, also if that is not read yet; never over UDP
+    @property
+    def peer_has_left(self) -> bool: ...
+
     def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         """Sends a message or queues it until it can be written; False if it will never be sent.
 
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -65,6 +65,7 @@
     reliable = False
     alive = True
     was_connected = True
+    peer_has_left = False
 
     def __init__(self, sock: socket.socket, host: str, port: int, tap: Tap | None = None) -> None:
         self.sock, self.host, self.port, self.tap = sock, host, port, tap
@@ -119,6 +120,11 @@
                 return self.alive and self._enqueue(queued)
         return self._send(link, queued)
 
+    @property
+    def peer_has_left(self) -> bool:
+        """Whether the peer has ended the connection."""
+        return not self.alive or self.link is not None and not self.link.peer_reachable()
+
     def _enqueue(self, queued: QueuedMessage) -> bool:
         """Queues a message for the connection that is being established; False if there is no room."""
         if len(self.queued) >= MAX_QUEUED_MESSAGES:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -7,8 +7,8 @@
     hub1 send 200 a                       responds to the last INVITE of that call received there
     caller expect 503 a X-Later-Ms:2000   expects a header whose value starts with this
     hub1 wait 300                         no message is received for this many milliseconds
-    hub1 close                            closes its connections; `reset` resets them, `dies` also closes
-                                          its listening socket
+    hub1 close                            closes its connections; `half_close` closes them only for sending,
+                                          `reset` resets them, `dies` also closes its listening socket
     bus tell hub1 removed                 sends an event of the event bus; `bus2` is one named by a reload
     program stop                          sends SIGTERM; `program ends 0` expects this exit code
     program reload bus2                   writes a new configuration and sends SIGHUP; `program says x` waits
@@ -251,7 +251,7 @@
         else:
             verbs: dict[str, Callable[..., None]] = {
                 "send": self._send, "expect": self._expect, "wait": self._wait, "close": self._close,
-                "reset": self._reset, "raw": self._raw, "dies": self._dies,
+                "reset": self._reset, "raw": self._raw, "dies": self._dies, "half_close": self._half_close,
             }  # fmt: skip
             verbs[verb](party, *words)
 
@@ -343,6 +343,11 @@
     def _reset(self, party: str) -> None:
         self.mailboxes[party].close(True)
 
+    def _half_close(self, party: str) -> None:
+        for connection in self.mailboxes[party].connections:
+            assert isinstance(connection, TcpConnection)
+            connection.sock.shutdown(socket.SHUT_WR)
+
     def _dies(self, party: str) -> None:
         """Simulates the end of its process: its listening socket is closed and its connections are reset."""
         self.listeners[party].shutdown(socket.SHUT_RDWR)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -55,6 +55,9 @@
     def reachable(self) -> bool:
         return self.connected
 
+    def has_left(self) -> bool:
+        return not self.connected
+
     def answer(self, description: bytes) -> None:
         self.received.append(description)
 
@@ -194,8 +197,8 @@
     connected: bool,
 ) -> None:
     harness = CoreHarness()
-    harness.caller = RecordingCaller(connected)
     first, second = harness.offer(), RecordingCaller()
+    harness.caller.connected = connected
     harness.give(replace(first, caller=second))
     harness.give(AttemptEstablished(harness.hubs.sent[0], b"theirs"))
     assert len(harness.hubs.sent) == 1
@@ -206,8 +209,8 @@
 
 def test_another_set_up_with_the_id_of_a_known_call_is_refused_and_can_not_end_that_call() -> None:
     harness, other_caller = CoreHarness(), RecordingCaller()
-    harness.caller = RecordingCaller(connected=False)
     other = replace(harness.offer(), caller=other_caller, description=b"another")
+    harness.caller.connected = False
     harness.give(other, SetUpCancelled("a", other_caller))
     harness.give(AttemptEstablished(harness.hubs.sent[0], b"theirs"))
     harness.give(other, SetUpCancelled("a", other_caller))
