Lab hubs: another process under a hub's name or at its address is another hub

Cause: a hub was known by its name alone; its address was overwritten, its connections and waiting dials stayed. Change: a hub's identity is name, address and start time. A name at a new address is a new Hub, the old one keeps the calls that stand there and gets nothing new; a failure of the old one ends no call of the new one; BYE and CANCEL go where the call is; a connection is taken only if it was dialled at the hub's address after its start, and older ones are closed; what was never written ends as not sent. A start in the future of our clock counts as now.

--- a/landingdeal/net/config.py
+++ b/landingdeal/net/config.py
@@ -20,6 +20,7 @@
     name: bytes
     host_port: str
     health: Health
+    started_ms: float = 0.0  # of its process; 0 for long ago
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +66,7 @@
                     name, int(endpoint["group"]) if "group" in endpoint else -1, health, up_since_ms
                 )
             )
-            addresses.append(HubAddress(name, host_port, health))
+            addresses.append(HubAddress(name, host_port, health, up_since_ms))
         kind = ListKind.FULL if topology.get("snapshot") else ListKind.CHANGES
         return TopologyEvent(int(raw["offset"]), ExchangeList(kind, tuple(entries)), tuple(addresses))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from landingdeal.clock import now_ms
-from landingdeal.core.events import Attempt
+from landingdeal.core.events import Attempt, HubFailed
 from landingdeal.net.hub_calls import HubCalls
 from landingdeal.net.link import HubLink
 from landingdeal.net.outgoing_releases import OutgoingReleases
@@ -35,11 +35,15 @@
 class Hub:
     """One lab hub: its address, its connections, the set-ups pending on each and those queued for one.
 
-    `changed` protects all of it.
+    Its identity is its name, its address and the start of its process: another process under its name or at
+    its address is another lab hub. `changed` protects all of it.
     """
 
-    def __init__(self, name: bytes, host: str, port: int) -> None:
+    def __init__(self, name: bytes, host: str, port: int, started_ms: float = 0.0) -> None:
         self.name, self.host, self.port = name, host, port
+        self.listed_start_ms = started_ms  # of its process; 0 for long ago
+        self.started_ms = min(started_ms, now_ms())  # the same on the clock of this machine
+        self.replaced_ms = float("inf")  # when the list gave its name to a process at another address
         self.link: HubLink | None = None  # set-ups are sent on it
         self.pending: dict[HubLink, dict[str, Attempt]] = {}  # of each connection that has not ended
         self.queued: list[Attempt] = []
@@ -59,6 +63,37 @@
         self.declared_failed = False  # its calls have been released because of its silence
         self.changed = threading.Condition()
 
+    def failed(self, before_ms: float) -> HubFailed:
+        """The event that its calls set up before this time are over: none of one that took its name."""
+        return HubFailed(self.name, min(before_ms, self.replaced_ms))
+
+    def is_peer_of(self, link: HubLink) -> bool:
+        """Whether a connection leads to this process: it was dialled at its address, after its start."""
+        is_at_address = link.dialled_address in (None, (self.host, self.port))
+        return is_at_address and link.dialled_ms >= self.started_ms
+
+    def idle_links_of_moved(self) -> list[HubLink]:
+        """The connections to a process that no longer has the hub's name and that nothing needs any more.
+
+        The caller holds the lock.
+        """
+        if self.replaced_ms == float("inf") or self.calls.any_stand():
+            return []
+        return [link for link, pending in self.pending.items() if not pending and not link.finishing]
+
+    def take_older_links(self, started_ms: float) -> list[HubLink]:
+        """Notes a later start of its process; returns the connections that lead to the process before it.
+
+        The caller holds the lock, and closes them.
+        """
+        if started_ms <= self.listed_start_ms:
+            return []
+        self.listed_start_ms, self.started_ms = started_ms, min(started_ms, now_ms())
+        older_links = [link for link in self.pending if link.dialled_ms < self.started_ms]
+        if self.link in older_links:
+            self.link = None
+        return older_links
+
     def is_needed(self) -> bool:
         """Whether a connection is to be kept to it: it is listed, or calls stand there."""
         return not self.removed or bool(self.port and self.calls.any_stand())
--- a/landingdeal/net/hub_connection_end.py
+++ b/landingdeal/net/hub_connection_end.py
@@ -5,7 +5,7 @@
 from badgerstile.interface import AttemptOutcome
 from landingdeal.clock import now_ms
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import Attempt, AttemptFailed, HubFailed
+from landingdeal.core.events import Attempt, AttemptFailed
 from landingdeal.log import log_event
 from landingdeal.net.hub import Hub
 from landingdeal.net.hub_calls import END_NOTICE_MS, ConnectionEnd
@@ -77,7 +77,7 @@
         survived = link.for_recovery or link.outlived_replacement or link.heard_since_probe
         if reset and was_replaced and may_have_restarted and not survived:
             # it was silent, then reset: the process there now does not know it
-            self.inbox.put(HubFailed(hub.name, failed_before_ms))
+            self.inbox.put(hub.failed(failed_before_ms))
 
     @staticmethod
     def _describe_end(link: HubLink, reset: bool) -> str:
--- a/landingdeal/net/hub_connector.py
+++ b/landingdeal/net/hub_connector.py
@@ -8,7 +8,7 @@
 from badgerstile.interface import AttemptOutcome
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import AttemptFailed, HubFailed
+from landingdeal.core.events import AttemptFailed
 from landingdeal.log import log_event, log_text
 from landingdeal.net.hub import Hub
 from landingdeal.net.hub_connection_end import ConnectionEndHandler
@@ -49,13 +49,13 @@
                     failed_before_ms, hub.suspect_reset_ms = hub.suspect_reset_ms, 0.0
                     break
             try:
-                sock = dial(hub.host, hub.port, now_ms() + self.dial_timeout_ms)
+                link = self._dial(hub)
             except OSError as error:
                 self._connect_failed(hub, error)
                 continue
-            self.on_connected(hub, self._new_link(hub, sock))
+            self.on_connected(hub, link)
         if failed_before_ms:
-            self.inbox.put(HubFailed(hub.name, failed_before_ms))
+            self.inbox.put(hub.failed(failed_before_ms))
         for attempt in queued:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
@@ -75,7 +75,7 @@
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
         if failed_before_ms:
-            self.inbox.put(HubFailed(hub.name, failed_before_ms))
+            self.inbox.put(hub.failed(failed_before_ms))
         with hub.changed:
             if hub.is_needed() and not hub.queued:
                 hub.changed.wait(seconds_until(now_ms() + REDIAL_INTERVAL_MS))
@@ -97,6 +97,15 @@
             return suspect_reset_ms
         return now if hub.refused_connects == 2 else 0.0
 
+    def _dial(self, hub: Hub) -> HubLink:
+        """Connects to the address that the hub has now; raises OSError."""
+        with hub.changed:
+            address = hub.host, hub.port
+        dialled_ms = now_ms()
+        link = self._new_link(hub, dial(*address, dialled_ms + self.dial_timeout_ms))
+        link.dialled_address, link.dialled_ms = address, dialled_ms
+        return link
+
     def _new_link(self, hub: Hub, sock: socket.socket) -> HubLink:
         return HubLink(
             sock,
@@ -107,9 +116,14 @@
     def on_connected(self, hub: Hub, link: HubLink) -> None:
         """Takes a new connection for set-ups and sends what is queued.
 
-        One lock for both: a cancellation finds each attempt either queued or sent.
+        One lock for both: a cancellation finds each attempt either queued or sent. A connection is closed if
+        its address has been given to another hub meanwhile, or the hub's process was started after the dial.
         """
         with hub.changed:
+            if not hub.is_peer_of(link):
+                log_event("hub_connection_of_another", hub=hub.name)
+                link.sock.close()
+                return
             hub.link = link
             hub.pending[link] = {}
             hub.calls.connection_opened(link.number, link.opened_ms)
@@ -125,7 +139,7 @@
             ]
         self._start_link(hub, link)
         if failed_before_ms:
-            self.inbox.put(HubFailed(hub.name, failed_before_ms))
+            self.inbox.put(hub.failed(failed_before_ms))
         log_event("hub_connected", hub=hub.name, link=link.number)
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
@@ -160,20 +174,23 @@
             self._recovery_failed(hub)
 
     def _open_recovery_connection(self, hub: Hub) -> None:
-        dialled_ms = now_ms()
         try:
-            sock = dial(hub.host, hub.port, dialled_ms + self.dial_timeout_ms)
+            link = self._dial(hub)
         except Exception as error:  # whatever it is, the calls in doubt need another one
             log_event("hub_recovery_failed", hub=hub.name, error=f"{type(error).__name__} {error}")
             self._recovery_failed(hub)
             return
-        link = self._new_link(hub, sock)
         link.for_recovery, link.probed_ms = True, now_ms()  # its first message shows that it is alive
         with hub.changed:
+            if not hub.is_peer_of(link):
+                link.sock.close()
+                hub.recovering = False
+                hub.calls.recovery_failed(now_ms())
+                return
             hub.recovering = False
             hub.pending[link] = {}
             in_doubt = hub.calls.in_doubt()
-            hub.calls.recovery_opened(link.number, dialled_ms)
+            hub.calls.recovery_opened(link.number, link.dialled_ms)
         log_event("hub_recovery", hub=hub.name, link=link.number, calls=len(in_doubt))
         self._start_link(hub, link)
 
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -8,7 +8,7 @@
 from badgerstile.interface import AttemptOutcome, Settings
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.broker import Inbox
-from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, ProbeCompleted
+from landingdeal.core.events import Attempt, AttemptFailed, ProbeCompleted
 from landingdeal.log import log_event
 from landingdeal.net.hub import Hub, PendingProbe
 from landingdeal.net.hub_check import check_hub
@@ -38,31 +38,52 @@
         self.connector = HubConnector(inbox, self.requests, self.messages, self.ends, dial_timeout_ms)
         self.lock = threading.Lock()
         self.hubs: dict[bytes, Hub] = {}
+        self.replaced_hubs: list[
+            Hub
+        ] = []  # whose name a process at another address has; calls may stand there
         self.probe_number = 0
 
-    def update_hub(self, name: bytes, address: str, removed: bool, draining: bool = False) -> None:
+    def update_hub(
+        self, name: bytes, address: str, removed: bool, draining: bool = False, started_ms: float = 0.0
+    ) -> None:
         """Applies one entry of the list of lab hubs: added, changed, draining or removed.
 
         A live connection is kept when its lab hub is removed from the list: the list is seconds late, and a
-        machine that had vanished may be back already, with established calls.
+        machine that had vanished may be back already, with established calls. A name that is listed with
+        another address is another lab hub; so is one that has the address of another.
         """
-        host, _, port = address.rpartition(":")
+        host, _, port_text = address.rpartition(":")
+        port = int(port_text) if port_text else 0
         with self.lock:
             hub = self.hubs.get(name)
-            hubs_at_address = []
+            moved_hub = None
+            if hub is not None and port and hub.port and not removed and (hub.host, hub.port) != (host, port):
+                moved_hub, hub = hub, None
+                self.replaced_hubs.append(moved_hub)
             if hub is None:
-                if removed or len(self.hubs) >= MAX_HUBS:
+                is_full = len(self.hubs) + len(self.replaced_hubs) >= MAX_HUBS
+                if removed or is_full and moved_hub is None:
                     return
-                hub = self.hubs[name] = Hub(name, host, int(port))
-                other_hubs = [h for h in self.hubs.values() if h is not hub]
-                hubs_at_address = [h for h in other_hubs if (h.host, h.port) == (host, hub.port)]
+                hub = self.hubs[name] = Hub(name, host, port, started_ms)
+            hubs_at_address = [
+                other for other in self.hubs.values()
+                if other is not hub and port and not removed and (other.host, other.port) == (host, port)
+            ]  # fmt: skip
+        if moved_hub is not None:
+            self._retire_moved(moved_hub)
         for replaced_hub in hubs_at_address:
             self._remove_replaced(replaced_hub)
+        self._apply_state(hub, host, port, removed, draining, started_ms)
+
+    def _apply_state(
+        self, hub: Hub, host: str, port: int, removed: bool, draining: bool, started_ms: float
+    ) -> None:
         with hub.changed:
             restarted = hub.may_have_restarted_since(hub.last_reset_ms, now_ms())
             failed_before_ms = hub.last_reset_ms if removed and restarted else 0.0
-            if address:
-                hub.host, hub.port = host, int(port)
+            if port:
+                hub.host, hub.port = host, port
+            older_links = hub.take_older_links(started_ms)
             hub.removed = removed
             # a lab hub that returns without a running keeper gets a new one: set-ups would be queued forever
             start_keeper, hub.keeper_running = (
@@ -72,23 +93,39 @@
             hub.draining = draining or removed
             undeliverable = hub.take_queued() + hub.take_unwritten() if hub.draining else []
             hub.changed.notify()
+        for link in older_links:
+            link.close_with_reason("its lab hub was started again after it was opened")
         for attempt in undeliverable:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
         if failed_before_ms:  # the earlier reset was the end of its process
-            self.inbox.put(HubFailed(name, failed_before_ms))
+            self.inbox.put(hub.failed(failed_before_ms))
         if start_keeper:
             start_supervised_thread("keeper", lambda: self.connector.keep_connected(hub))
 
+    def _retire_moved(self, moved_hub: Hub) -> None:
+        """Sends nothing new to the process that had a hub's name; its calls stand there until they end."""
+        with moved_hub.changed:
+            moved_hub.replaced_ms = now_ms()
+            moved_hub.removed = moved_hub.draining = True
+            unsent = moved_hub.take_queued() + moved_hub.take_unwritten()
+            moved_hub.changed.notify()
+        log_event("hub_moved", hub=moved_hub.name, unsent=len(unsent))
+        for attempt in unsent:
+            self.inbox.put(AttemptFailed(attempt, AttemptOutcome.NOT_SENT))
+
     def _remove_replaced(self, replaced_hub: Hub) -> None:
         """Removes a lab hub whose address a new one has, so that it is not connected to the new one."""
         with replaced_hub.changed:
-            replaced_hub.removed = True
+            replaced_hub.removed = replaced_hub.draining = True
             links = list(replaced_hub.pending)
+            unsent = replaced_hub.take_queued() + replaced_hub.take_unwritten()
             replaced_hub.host, replaced_hub.port = "", 0
             replaced_hub.changed.notify()
         for link in links:
             link.close_with_reason("another lab hub has its address")
-        self.inbox.put(HubFailed(replaced_hub.name, now_ms()))
+        for attempt in unsent:
+            self.inbox.put(AttemptFailed(attempt, AttemptOutcome.NOT_SENT))
+        self.inbox.put(replaced_hub.failed(now_ms()))
 
     def start(self) -> None:
         """Starts the thread that checks for silent lab hubs."""
@@ -103,7 +140,7 @@
     def check_hubs(self, now: float) -> None:
         """Replaces silent connections, declares silent lab hubs failed and recovers lost releases."""
         with self.lock:
-            hubs = list(self.hubs.values())
+            hubs = [*self.hubs.values(), *self.replaced_hubs]
         for hub in hubs:
             self._check_hub(hub, now)
 
@@ -116,6 +153,7 @@
             self.requests.send_due_releases(hub)
             dropped_releases = hub.releases.take_dropped_count()
             hub.recovering = hub.recovering or check.recovery_due
+            check.finished += hub.idle_links_of_moved()
             removable = hub.removed and hub.declared_failed and not hub.keeper_running and not hub.pending
         if dropped_releases:
             log_event("hub_releases_dropped", hub=hub.name, count=dropped_releases)
@@ -135,10 +173,16 @@
             self.connector.start_recovery(hub)
         if check.failed:
             log_event("hub_failed", hub=hub.name, silent_ms=check.silent_ms)
-            self.inbox.put(HubFailed(hub.name, now))
+            self.inbox.put(hub.failed(now))
         if removable:  # bounds memory and threads where lab hubs are often replaced by new ones
-            with self.lock:
-                self.hubs.pop(hub.name, None)
+            self._forget(hub)
+
+    def _forget(self, hub: Hub) -> None:
+        with self.lock:
+            if self.hubs.get(hub.name) is hub:
+                del self.hubs[hub.name]
+            elif hub in self.replaced_hubs:
+                self.replaced_hubs.remove(hub)
 
     def all_connected(self) -> bool:
         """Whether each lab hub that is not removed has a connection."""
@@ -162,6 +206,22 @@
         with self.lock:
             return self.hubs.get(name)
 
+    def _hubs_of(self, name: bytes) -> list[Hub]:
+        """The lab hubs that have or had this name, the current one last."""
+        with self.lock:
+            current = self.hubs.get(name)
+            replaced = [hub for hub in self.replaced_hubs if hub.name == name]
+        return [*replaced, *([current] if current is not None else [])]
+
+    def _hub_with_call(self, name: bytes, call: str) -> Hub | None:
+        """The lab hub of this name where the call is, else the current one."""
+        hubs = self._hubs_of(name)
+        for hub in hubs:
+            with hub.changed:
+                if hub.has_call(call):
+                    return hub
+        return hubs[-1] if hubs else None
+
     def set_up(self, attempt: Attempt) -> None:
         hub = self._find_hub(attempt.hub)
         if hub is None:
@@ -178,7 +238,7 @@
             self.inbox.put_from_core(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
     def cancel(self, attempt: Attempt) -> bool:
-        hub = self._find_hub(attempt.hub)
+        hub = self._hub_with_call(attempt.hub, attempt.offer.call_id)
         if hub is None:
             return False
         with hub.changed:
@@ -206,7 +266,7 @@
         return unresponsive
 
     def release(self, name: bytes, call: str) -> None:
-        hub = self._find_hub(name)
+        hub = self._hub_with_call(name, call)
         if hub is None:
             return
         with hub.changed:
@@ -215,11 +275,9 @@
             self.requests.send_due_releases(hub)
 
     def forget(self, name: bytes, call: str) -> None:
-        hub = self._find_hub(name)
-        if hub is None:
-            return
-        with hub.changed:
-            hub.calls.call_ended(call)
+        for hub in self._hubs_of(name):
+            with hub.changed:
+                hub.calls.call_ended(call)
 
     def probe(self, name: bytes, deadline_ms: float) -> None:
         hub = self._find_hub(name)
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -439,6 +439,8 @@
         on_end: Callable[[HubLink, bool], None],
     ) -> None:
         super().__init__(sock, lambda _, message: on_message(self, message), lambda _, r: on_end(self, r))
+        self.dialled_address: tuple[str, int] | None = None
+        self.dialled_ms = self.opened_ms  # when the connect began
         self.for_recovery = False  # opened so that the lab hub repeats its releases; no set-up is sent here
         self.probed_ms = 0.0  # when OPTIONS was sent here after the connection had been replaced
         self.outlived_replacement = False  # a message came here after the first of these probes
--- a/landingdeal/service/on_platform.py
+++ b/landingdeal/service/on_platform.py
@@ -53,6 +53,7 @@
                 hub_address.host_port,
                 hub_address.health is Health.REMOVED,
                 hub_address.health is Health.DRAINING,
+                hub_address.started_ms,
             )
         inbox.put(HubListChanged(event.change))
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,7 +9,8 @@
     hub1 wait 300                         no message is received for this many milliseconds
     hub1 close                            closes its connections; `half_close` closes them only for sending,
                                           `reset` resets them, `dies` also closes its listening socket
-    bus tell hub1 removed                 sends an event of the event bus; `bus2` is one named by a reload
+    bus tell hub1 removed                 sends an event of the event bus; `bus2` is one named by a reload;
+                                          `at=hub2` gives its address, `since=now` a start, `named=x` a name
     program stop                          sends SIGTERM; `program ends 0` expects this exit code
     program reload bus2                   writes a new configuration and sends SIGHUP; `program says x` waits
                                           for a log line
@@ -152,7 +153,8 @@
     ) -> None:
         """Starts the program; `class_changes` replaces these settings of every class."""
         self.mailboxes: dict[str, Mailbox] = {}
-        self.listeners = {f"hub{n}": socket.create_server(("127.0.0.1", 0)) for n in range(3)}
+        # hub3 is in no list: its address is free for an event of the event bus
+        self.listeners = {f"hub{n}": socket.create_server(("127.0.0.1", 0)) for n in range(4)}
         self.bus_events: dict[str, queue.Queue[str]] = {name: queue.Queue() for name in ("bus", "bus2")}
         for name in self.bus_events:
             self.listeners[name] = socket.create_server(("127.0.0.1", 0))
@@ -190,9 +192,12 @@
     def _address(self, name: str) -> str:
         return f"127.0.0.1:{self.listeners[name].getsockname()[1]}"
 
-    def _event(self, whole: bool, status: str, *names: str) -> dict[str, Any]:
-        rows = [{"name": f"s-{name}", "address": self._address(name), "group": int(name[3:]),
-                 "status": status, "since_ms": 0} for name in names]  # fmt: skip
+    def _event(
+        self, whole: bool, status: str, *names: str, at: str = "", since: str = "", named: str = ""
+    ) -> dict[str, Any]:
+        since_ms = int(time.time() * 1000) if since else 0
+        rows = [{"name": f"s-{named or name}", "address": self._address(at or name), "group": int(name[3:]),
+                 "status": status, "since_ms": since_ms} for name in names]  # fmt: skip
         return {"offset": self.offset, "topology": {"index": 1, "snapshot": whole, "endpoints": rows}}
 
     def _accept(self, name: str, listener: socket.socket) -> None:
@@ -246,7 +251,8 @@
             self._program(verb, *words)
         elif party in self.bus_events:
             self.offset += 1
-            event = json.dumps(self._event(False, words[1], words[0]))
+            changes = dict(word.split("=") for word in words[2:])
+            event = json.dumps(self._event(False, words[1], words[0], **changes))
             self.bus_events[party].put(f"id: {self.offset}\ndata: {event}\n\n")
         else:
             verbs: dict[str, Callable[..., None]] = {
