--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -11,7 +11,7 @@
 import math
 
 from badgerstile.interface import AttemptOutcome, LoadField, RejectionReason, Settings
-from landingdeal.core.broker import CAUSE_CALL_CUT, Inbox
+from landingdeal.core.broker import CAUSE_CALL_CUT
 from landingdeal.core.events import (
     Attempt,
     AttemptEstablished,
@@ -23,6 +23,7 @@
     RefusalReason,
     SetUpCancelled,
 )
+from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.sip.address import AddressError, parse_name_addr, parse_uri
 from landingdeal.sip.call import DialogSide, HubConfig, HubLeg, SipCall, SipCaller, SipConfig
@@ -349,7 +350,7 @@
         if is_transport_failure(message):
             connected = transaction is None or transaction.flow.was_connected
             outcome = AttemptOutcome.CUT if connected else AttemptOutcome.UNREACHABLE
-            if leg.attempt.pending_send.withdrawn:
+            if leg.attempt.pending_send.withdrawn and call.caller.has_left():
                 outcome = AttemptOutcome.NOT_SENT
         elif message.status == 503 and reason is RejectionReason.NONE:
             reason = RejectionReason.PROCESSOR_FULL
