Core: the inbox has a module of its own

Change: Inbox moves to core/inbox.py, with what the fronts may answer while the core takes nothing; nothing else changes.

--- a/landingdeal/core/broker.py
+++ b/landingdeal/core/broker.py
@@ -8,9 +8,8 @@
 
 import heapq
 import itertools
-import queue
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterator
+from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from badgerstile.control import Softswitch
@@ -34,7 +33,7 @@
     SetUp,
     TimerFired,
 )
-from landingdeal.clock import now_ms, seconds_until
+from landingdeal.clock import now_ms
 from landingdeal.core.calls import EstablishedCall, PendingCall
 from landingdeal.core.contracts import Contracts
 from landingdeal.core.events import (
@@ -57,19 +56,17 @@
     StopRequested,
 )
 from landingdeal.core.guard import Guard
+from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.core.pending_send import PendingSend
-from landingdeal.core.request_history import RequestHistory
 from landingdeal.log import log_event, log_exception, log_text
 
-MAX_INBOX_SIZE = 4096  # events; above this, set-ups are refused at once
 MAX_PENDING_CALLS = 4000  # further set-ups are refused
 MAX_ESTABLISHED_CALLS = 20000  # above this the oldest established call is no longer tracked
 REPEAT_WINDOW_MS = 1500.0  # after the answer, for a caller that lost its connection and repeats the set-up
 # A lab hub may repeat an answer: for so long no new attempt goes to it that the repeat could be taken for
 DUPLICATE_ANSWER_MS = 50.0
 MAX_ENDED_CALLS = 4096  # calls that ended without being established and are still remembered
-MAX_BATCH_SIZE = 256  # events handled in one turn
 DEADLINE_MARGIN_MS = 30.0  # so long before its deadline the core refuses a call that has no answer
 RELEASE_MARGIN_MS = 10.0  # the release time counts from its arrival at the hub, later than the decision here
 PROBE_TIMEOUT_MS = 250.0
@@ -92,52 +89,6 @@
 Timer = Attempt | DelayedAttempt | TimerFired | str
 
 
-class Inbox:
-    """The event queue of the core. When it is full, set-ups are refused and other events block the sender."""
-
-    def __init__(self) -> None:
-        self.queue: queue.Queue[CoreEvent] = queue.Queue(MAX_INBOX_SIZE * 2)
-        self.core_events: deque[CoreEvent] = deque()
-        self.request_history = RequestHistory()
-        self.closed = False
-
-    def offer(self, offer: Offer) -> bool:
-        """Queues a set-up. False if the inbox is full or the core has ended: the front must refuse it."""
-        if self.closed or self.queue.qsize() >= MAX_INBOX_SIZE:
-            return False
-        self.queue.put(offer)
-        return True
-
-    def refusal_reason(self, identity: str) -> RefusalReason:
-        """The reason with which a front refuses a request that the core doesn't answer."""
-        return self.request_history.refusal_reason(identity) or RefusalReason.UNAVAILABLE
-
-    def put(self, event: CoreEvent) -> None:
-        """Queues an event; blocks while the queue is full."""
-        self.queue.put(event)
-
-    def put_from_core(self, event: CoreEvent) -> None:
-        """Queues an event from the core's own thread, which must not block: it alone empties the queue."""
-        self.core_events.append(event)
-
-    def size(self) -> int:
-        """The number of queued events."""
-        return len(self.core_events) + self.queue.qsize()
-
-    def take(self, until_ms: float) -> Iterator[CoreEvent]:
-        """Waits for an event, at most until `until_ms`; then yields all queued events, up to a batch."""
-        must_wait = not self.core_events
-        while self.core_events:
-            yield self.core_events.popleft()
-        try:
-            if must_wait:
-                yield self.queue.get(timeout=seconds_until(until_ms))
-            for _ in range(MAX_BATCH_SIZE):
-                yield self.queue.get_nowait()
-        except queue.Empty:
-            return
-
-
 def _log_call(kind: str, offer: Offer, **fields: object) -> None:
     """Logs an event of a call that its caller can cause at will, within the share of its connection."""
     log_event(kind, offer.caller.log_share, call=offer.call_id, **fields)
--- a/landingdeal/net/callers.py
+++ b/landingdeal/net/callers.py
@@ -9,8 +9,8 @@
 from badgerstile.interface import Settings
 from landingdeal.clock import now_ms
 from landingdeal.core import steps
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import CallerReleased, CallerStreamBroken, SetUpCancelled
+from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import IdleConnection, Lifecycle, connections_to_close, may_close
 from landingdeal.log import log_event
 from landingdeal.net.acceptor import Acceptor
--- a/landingdeal/net/hub_connection_end.py
+++ b/landingdeal/net/hub_connection_end.py
@@ -4,8 +4,8 @@
 
 from badgerstile.interface import AttemptOutcome
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, AttemptFailed
+from landingdeal.core.inbox import Inbox
 from landingdeal.log import log_event
 from landingdeal.net.hub import Hub
 from landingdeal.net.hub_calls import END_NOTICE_MS, ConnectionEnd
--- a/landingdeal/net/hub_connector.py
+++ b/landingdeal/net/hub_connector.py
@@ -7,8 +7,8 @@
 
 from badgerstile.interface import AttemptOutcome
 from landingdeal.clock import now_ms, seconds_until
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import AttemptFailed
+from landingdeal.core.inbox import Inbox
 from landingdeal.log import log_event, log_text
 from landingdeal.net.hub import Hub
 from landingdeal.net.hub_connection_end import ConnectionEndHandler
--- a/landingdeal/net/hub_messages.py
+++ b/landingdeal/net/hub_messages.py
@@ -6,7 +6,6 @@
 
 from badgerstile.interface import AttemptOutcome, Settings
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import (
     AttemptEstablished,
     AttemptFailed,
@@ -14,6 +13,7 @@
     LoadReported,
     ProbeCompleted,
 )
+from landingdeal.core.inbox import Inbox
 from landingdeal.log import log_event
 from landingdeal.net.hub import Hub
 from landingdeal.net.hub_requests import HUB_URI, HubRequests
--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -7,8 +7,8 @@
 
 from badgerstile.interface import AttemptOutcome, Settings
 from landingdeal.clock import now_ms, seconds_until
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, AttemptFailed, ProbeCompleted
+from landingdeal.core.inbox import Inbox
 from landingdeal.log import log_event
 from landingdeal.net.hub import Hub, PendingProbe
 from landingdeal.net.hub_check import check_hub
--- a/landingdeal/service/with_sip.py
+++ b/landingdeal/service/with_sip.py
@@ -9,9 +9,10 @@
 from landingdeal.capture.settings import CaptureSettings
 from landingdeal.capture.sink import CaptureWriter
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Broker, Inbox
+from landingdeal.core.broker import Broker
 from landingdeal.core.contracts import Contracts
 from landingdeal.core.events import ContractsChanged, HubListChanged
+from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import Lifecycle, times_before_kill
 from landingdeal.errors import ConfigError
 from landingdeal.log import log_text
--- a/landingdeal/sip/dialog_layer.py
+++ b/landingdeal/sip/dialog_layer.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from landingdeal.core.broker import CAUSE_CALL_CUT, Inbox
+from landingdeal.core.broker import CAUSE_CALL_CUT
 from landingdeal.core.events import CallerReleased, HubReleased
+from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.log import log_text
 from landingdeal.sip.address import AddressError, parse_name_addr
--- a/tests/releasing_hub.py
+++ b/tests/releasing_hub.py
@@ -15,8 +15,8 @@
 
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, AttemptEstablished, CoreEvent, HubReleased, LoadReported, Offer
+from landingdeal.core.inbox import Inbox
 from landingdeal.net.hub import Hub
 from landingdeal.net.hubs import HubConnections
 from landingdeal.net.transaction import CallerTransaction
--- a/tests/rig/front.py
+++ b/tests/rig/front.py
@@ -9,8 +9,8 @@
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
 from landingdeal.core import steps
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Offer
+from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import Lifecycle
 from landingdeal.lab.ports import free_port
 from landingdeal.net.callers import CallerConnections
--- a/tests/sip_front.py
+++ b/tests/sip_front.py
@@ -6,7 +6,7 @@
 from typing import TypeVar
 
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
+from landingdeal.core.inbox import Inbox
 from landingdeal.lab.ports import free_port
 from landingdeal.operator_config import parse_operator_config
 from landingdeal.sip.front import SipFront
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -18,7 +18,7 @@
 )
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import DUPLICATE_ANSWER_MS, MAX_INBOX_SIZE, Broker, Inbox
+from landingdeal.core.broker import DUPLICATE_ANSWER_MS, Broker
 from landingdeal.core.calls import PendingCall
 from landingdeal.core.contracts import Contract, Contracts
 from landingdeal.core.events import (
@@ -35,6 +35,7 @@
     StopRequested,
 )
 from landingdeal.core.guard import Guard
+from landingdeal.core.inbox import MAX_INBOX_SIZE, Inbox
 from landingdeal.log import LogShare
 from tests.scenario import SETTINGS
 
--- a/tests/test_hub_identity.py
+++ b/tests/test_hub_identity.py
@@ -14,8 +14,8 @@
 from badgerstile.interface import AttemptOutcome
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, Offer
+from landingdeal.core.inbox import Inbox
 from landingdeal.net.hub import Hub
 from landingdeal.net.hubs import HubConnections
 from landingdeal.net.link import HubLink, dial
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,8 +23,8 @@
 from badgerstile.interface import AttemptOutcome, Health
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
-from landingdeal.core.broker import Inbox
 from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, Offer, ProbeCompleted
+from landingdeal.core.inbox import Inbox
 from landingdeal.lab.ports import free_port
 from landingdeal.net.bus import BusReader
 from landingdeal.net.callers import CallerConnections
