SIP front: the end of a connection is handled after what came on it

Cause: found by reading. Since received messages are taken from their sources in turn, the end of a connection, which went to the event loop by itself, could overtake the messages that had come on it. Change: the end is queued behind them, without waiting for room.

--- a/landingdeal/sip/backlog.py
+++ b/landingdeal/sip/backlog.py
@@ -67,6 +67,15 @@
             self._waiting -= 1
             self._append(source, item, size)
 
+    def put_last(self, source: Hashable, item: Item, from_hub: bool) -> None:
+        """Queues the end of a source behind its messages, whether there is room or not; never waits."""
+        with self._changed:
+            if from_hub:
+                self._from_hubs.append((item, 0))
+                self._count(1, 0)
+            else:
+                self._append(source, item, 0)
+
     def take(self) -> Item | None:
         """The next message of the source whose turn it is; None if there is none."""
         with self._changed:
--- a/landingdeal/sip/endpoint.py
+++ b/landingdeal/sip/endpoint.py
@@ -46,7 +46,7 @@
         self.random = random.Random(seed)
         self.tag_key = self.random.randbytes(16)
         self.event_loop = EventLoop()
-        self.backlog: ReceiveBacklog[ReceivedMessage] = ReceiveBacklog()
+        self.backlog: ReceiveBacklog[ReceivedMessage | TcpFlow] = ReceiveBacklog()
         self.transport_layer = TransportLayer(
             config.host,
             config.port,
@@ -107,10 +107,12 @@
             self.backlog.put(source, received, size)
         elif not self.backlog.try_put(source, received, size):
             return
-        self.event_loop.post(self._handle_next_message)
+        self.event_loop.post(self._handle_next_received)
 
     def flow_ended(self, flow: TcpFlow) -> None:
-        self.event_loop.post(lambda: self.flow_lost(flow))
+        """Queues the end of a connection behind the messages that came on it."""
+        self.backlog.put_last((flow.host, flow.port), flow, self.transport_layer.is_to_hub(flow))
+        self.event_loop.post(self._handle_next_received)
 
     # --- making messages ---
 
@@ -157,9 +159,11 @@
 
     # --- received messages ---
 
-    def _handle_next_message(self) -> None:
+    def _handle_next_received(self) -> None:
         received = self.backlog.take()
-        if received is not None:
+        if isinstance(received, TcpFlow):
+            self.flow_lost(received)
+        elif received is not None:
             self._handle_message(received)
 
     def _handle_message(self, received: ReceivedMessage) -> None:
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -220,6 +220,10 @@
             self._dial_failed(flow)
         return flow
 
+    def is_to_hub(self, flow: TcpFlow) -> bool:
+        """Whether a connection was opened by this side to a lab hub."""
+        return flow.dialled and ("TCP", flow.host, flow.port) in self.hubs
+
     def _dial(self, flow: TcpFlow) -> None:
         try:
             sock = dial(flow.host, flow.port, now_ms() + DIAL_TIMEOUT_MS)
@@ -266,8 +270,7 @@
     def _message_received(self, flow: TcpFlow, message: Message | MalformedMessage) -> None:
         if self.tap is not None and isinstance(message, Message):
             self.tap.message_passed("TCP", (flow.host, flow.port), flow.local, message)
-        is_from_hub = flow.dialled and ("TCP", flow.host, flow.port) in self.hubs
-        self.on_received(ReceivedMessage(message, flow.host, flow.port, flow, is_from_hub))
+        self.on_received(ReceivedMessage(message, flow.host, flow.port, flow, self.is_to_hub(flow)))
 
     def _connection_ended(self, flow: TcpFlow, link: Link, reset: bool) -> None:
         flow.alive = False
--- a/tests/test_flooding.py
+++ b/tests/test_flooding.py
@@ -116,6 +116,17 @@
     assert entered.wait(TIMEOUT_S) and backlog.take() == 2 and backlog.take() is None
 
 
+def test_the_end_of_a_connection_is_handled_after_what_came_on_it() -> None:
+    backlog: ReceiveBacklog[str] = ReceiveBacklog()
+    for number in range(MAX_MESSAGES_PER_SOURCE):
+        assert backlog.try_put(SOURCE, str(number), 10)
+        assert backlog.try_put_from_hub(f"hub {number}", 10)
+    backlog.put_last(SOURCE, "end", from_hub=False)
+    backlog.put_last(OTHER, "hub end", from_hub=True)
+    taken = [backlog.take() for _ in range(backlog.messages)]
+    assert taken[MAX_MESSAGES_PER_SOURCE] == "hub end" and taken[-1] == "end" and backlog.take() is None
+
+
 def test_the_transactions_of_one_source_leave_room_for_others() -> None:
     limits = TransactionLimits()
     share, other = TransactionShare(SOURCE, 10), TransactionShare(OTHER, 10)
