Soak of the SIP front: its peers also listen in a process with over 1,023 descriptors

Cause, shown: the peers wait with select(), which takes no descriptor over 1023, and stop listening without a word: with 1,100 descriptors held open the unchanged test fails in the same way there, and answers on new connections are what is missing. Change: the peers wait with poll(). What the test checks is the same.

--- a/tests/rig/sip_peers.py
+++ b/tests/rig/sip_peers.py
@@ -76,16 +76,18 @@
     def _accept(self) -> None:
         with suppress(OSError, ValueError):
             while not self.closed:
-                select.select([self.server], [], [], POLL_S)
+                self._has_waiting(POLL_S)
                 with self.accepting:
                     if not self.cut_off and self._has_waiting():
                         Connection(self.server.accept()[0], self)
                 if self.cut_off:
                     time.sleep(POLL_S)
 
-    def _has_waiting(self) -> bool:
-        """Whether a connection waits in the accept queue."""
-        return bool(select.select([self.server], [], [], 0)[0])
+    def _has_waiting(self, within_s: float = 0.0) -> bool:
+        """Whether a connection waits in the accept queue, or comes in time."""
+        poll = select.poll()  # not select(), which takes no descriptor over 1023
+        poll.register(self.server, select.POLLIN)
+        return bool(poll.poll(within_s * 1000))
 
     def on_message(self, message: Message, connection: Connection) -> None:
         raise NotImplementedError
