--- a/landingdeal/net/hubs.py
+++ b/landingdeal/net/hubs.py
@@ -38,9 +38,8 @@
         self.connector = HubConnector(inbox, self.requests, self.messages, self.ends, dial_timeout_ms)
         self.lock = threading.Lock()
         self.hubs: dict[bytes, Hub] = {}
-        self.replaced_hubs: list[
-            Hub
-        ] = []  # whose name a process at another address has; calls may stand there
+        # whose names processes at other addresses have; calls may stand there
+        self.replaced_hubs: list[Hub] = []
         self.probe_number = 0
 
     def update_hub(
