--- a/landingdeal/service/on_platform.py
+++ b/landingdeal/service/on_platform.py
@@ -76,4 +76,7 @@
 
     bus.start()
     start_supervised_thread("ready", mark_ready)
-    run(broker, callers.flush, signals, load_configuration)
+    try:
+        run(broker, callers.flush, signals, load_configuration)
+    finally:
+        bus.stop()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -629,7 +629,7 @@
                 sock.sendall(f"HTTP/1.1 200 OK\r\n{encoding_header}\r\n".encode() + body)
                 if offset == 6:
                     event = received.get(timeout=5)
-        reader.stopped = True
+        reader.stop()
     assert event.offset == 7 and event.addresses == (HubAddress(b"s-1", "127.0.0.1:9", Health.DRAINING),)
     assert received.empty()
 
@@ -778,7 +778,7 @@
                 with suppress(OSError):
                     sock.recv(1)  # until the reader closes or has read everything
         assert received.get(timeout=5).offset == 8
-        reader.stopped = True
+        reader.stop()
 
 
 def test_an_event_that_could_not_be_applied_is_passed_on_again() -> None:
@@ -804,7 +804,7 @@
         until = now_ms() + 5000
         while received != [7, 7] and now_ms() < until:
             time.sleep(0.01)
-        reader.stopped = True
+        reader.stop()
     assert received == [7, 7]
 
 
