Both fronts: the load in a probe answer that comes after the deadline is used

Seen: a stand-in hub that answers each OPTIONS after 0.7 s, probed once a second with the deadline of 250 ms: 20 of 20 probes failed in 20 s and no load was known of it. Change: a probe still fails at its deadline, which is what it measures; a good answer after that is passed on as a report of the load. Result: the three new tests (platform, SIP over UDP and TCP) fail without the change and pass with it; the other tests of probes pass.

--- a/landingdeal/net/hub_messages.py
+++ b/landingdeal/net/hub_messages.py
@@ -141,9 +141,14 @@
                 self.requests.send_due_releases(hub)
 
     def _on_probe_answer(self, hub: Hub, message: Message) -> None:
+        """Reports the result of a probe. An answer after its deadline still tells the load of the lab hub."""
         with hub.changed:
             pending_probe = hub.pending_probes.pop(message.call_id, None)
-        if pending_probe is not None:
+        reported_load = load_values(message, self.settings)
+        if pending_probe is None:
+            if message.status < 300 and reported_load:
+                self.inbox.put(LoadReported(hub.name, reported_load))
+        else:
             now = now_ms()
             succeeded = message.status < 300 and now <= pending_probe.deadline_ms
             self.inbox.put(
@@ -151,6 +156,6 @@
                     hub.name,
                     succeeded,
                     max(now - pending_probe.sent_ms, 0.1),
-                    load_values(message, self.settings),
+                    reported_load,
                 )
             )
--- a/landingdeal/sip/front.py
+++ b/landingdeal/sip/front.py
@@ -453,14 +453,14 @@
 
         def on_response(message: Message) -> None:
             nonlocal completed
-            if not completed and message.status >= 200:
+            if message.status < 200:
+                return
+            successful, reported_load = message.status < 300, load_values(message, self.settings)
+            if not completed:
                 completed = True
-                successful = message.status < 300
-                self.inbox.put(
-                    ProbeCompleted(
-                        name, successful, self.now() - sent_ms + 0.1, load_values(message, self.settings)
-                    )
-                )
+                self.inbox.put(ProbeCompleted(name, successful, self.now() - sent_ms + 0.1, reported_load))
+            elif successful and reported_load:  # after the deadline it still tells the load of the hub
+                self.inbox.put(LoadReported(name, reported_load))
 
         flow = self.transport_layer.flow_to(hub.transport, hub.host, hub.port)
         uri = f"sip:load@{hub.host}:{hub.port}"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,7 +23,7 @@
 from badgerstile.interface import AttemptOutcome, Health
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
-from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, Offer, ProbeCompleted
+from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, LoadReported, Offer, ProbeCompleted
 from landingdeal.core.inbox import Inbox
 from landingdeal.lab.ports import free_port
 from landingdeal.net.bus import BusReader
@@ -33,7 +33,7 @@
 from landingdeal.net.hubs import HubConnections
 from landingdeal.net.link import MAX_QUEUED_MESSAGES, CallerLink, HubLink, Link
 from landingdeal.net.transaction import CallerTransaction
-from landingdeal.sip.message import Message, encode, request
+from landingdeal.sip.message import Message, encode, request, response
 from landingdeal.threads import start_supervised_thread, start_thread
 from tests.scenario import ROOT, SETTINGS, PlatformHarness, play
 from tests.sockets import read_until
@@ -575,6 +575,25 @@
     assert isinstance(event, ProbeCompleted) and not event.succeeded and 249 < event.latency_ms <= 250
 
 
+def test_the_load_in_a_probe_answer_after_the_deadline_is_reported() -> None:
+    """Guards against a hub that is slower than each probe's deadline and whose load is never known."""
+    inbox = Inbox()
+    hubs = HubConnections(read_settings(json.dumps(SETTINGS).encode()), inbox, "127.0.0.1:1", 50.0)
+    hub = hubs.hubs[b"h"] = Hub(b"h", "127.0.0.1", 1)
+    hubs.probe(b"h", now_ms() + 250)
+    (key,) = hub.pending_probes
+    hubs.check_hubs(now_ms() + 251)
+    first, second = socket.socketpair()
+    with first, second:
+        link = HubLink(first, lambda on, message: None, lambda on, reset: None)
+        answer = response(hubs.requests.options(key), 200, ("x-state", "x0:7;x1:40"))
+        hubs.messages.handle(hub, link, answer)
+        hubs.messages.handle(hub, link, response(hubs.requests.options(key), 503, ("x-state", "x0:7;x1:40")))
+    expired, late = inbox.take(now_ms())
+    assert isinstance(expired, ProbeCompleted) and not expired.succeeded
+    assert isinstance(late, LoadReported) and late.load_values[:2] == (7.0, 40.0)
+
+
 @pytest.mark.parametrize(
     ("config", "operator", "line"),
     [
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -16,6 +16,7 @@
     Attempt,
     AttemptEstablished,
     AttemptFailed,
+    LoadReported,
     Offer,
     ProbeCompleted,
     RefusalReason,
@@ -210,6 +211,18 @@
     environment.close_parties()
 
 
+@pytest.mark.parametrize("transport", ["udp", "tcp"])
+def test_the_load_in_a_probe_answer_after_the_deadline_is_reported(transport: str) -> None:
+    """Guards against a hub that is slower than each probe's deadline and whose load is never known."""
+    environment = InProcessFront(transport)
+    environment.front.probe(b"hub1", now_ms() + 50)
+    play(environment, "hub1 expect OPTIONS a")
+    assert not environment.next_event(ProbeCompleted).succeeded
+    play(environment, "hub1 send 200 a of=OPTIONS X-State:x0:7;x1:40")
+    assert environment.next_event(LoadReported).load_values[:2] == (7.0, 40.0)
+    environment.close_parties()
+
+
 def test_a_2xx_that_waits_for_a_connection_is_not_queued_again(
     front: InProcessFront, held: HeldConnections
 ) -> None:
