Lab hubs: a message that comes in pieces is read on, beside a new connection

Seen: a stand-in hub that takes 0.6 s or more from the first byte of a message to its last was never heard on the platform's front: 49 and 50 connections in 20 s, no report of its load, no set-up established. The same cause as the event bus that answers late: 0.4 s after the first byte the connection was cut, and the next one began anew. A hub's segment that is lost twice on its way takes that long. Change: after 0.4 s the connection counts as one that may lose releases and is replaced, as one that is silent; it is read on, for 3 s from the first byte as other connections are, and what comes whole is used. Set-ups out there are given up as on any replaced connection.

--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -40,6 +40,7 @@
     """Checks one lab hub. The caller holds its lock; the times in `hub` and its connections are updated."""
     check = HubCheck(now - hub.last_received_ms)
     check.expired_probes = _take_expired_probes(hub, now)
+    _note_stalled_links(hub, now)
     check.replace = hub.link is not None and (
         _is_silent(hub.link, now) or _is_unresponsive(hub, hub.link, now, unresponsive_ms)
     )
@@ -60,6 +61,17 @@
     return check
 
 
+def _note_stalled_links(hub: Hub, now: float) -> None:
+    """Notes the connections on which a message is incomplete: what follows it there may not be received."""
+    for link in hub.pending:
+        is_stalled = link.is_stalled(now)
+        if is_stalled:
+            hub.calls.connection_silent(link.number, now)
+        elif link.was_stalled:
+            hub.calls.connection_heard(link.number)
+        link.was_stalled = is_stalled
+
+
 def _check_replaced(hub: Hub, link: HubLink, current: HubLink | None, now: float, check: HubCheck) -> None:
     """Checks a connection that is not the current one and has not been closed by this side.
 
@@ -67,7 +79,7 @@
     """
     in_use = [on for on in hub.pending if not on.finishing and on not in check.finished]
     has_excess = len(in_use) >= MAX_CONNECTIONS
-    if link.heard_since_probe:
+    if link.heard_since_probe and not link.was_stalled:
         link.outlived_replacement = True
         hub.calls.connection_heard(link.number)
         if _is_silent(link, now):
@@ -92,20 +104,18 @@
 
 
 def _is_unresponsive(hub: Hub, link: HubLink, now: float, unresponsive_ms: float) -> bool:
-    """Whether set-ups on it get no message back: its lab hub may still answer on another connection."""
-    return (
-        link.unresponsive_for_ms(now) > unresponsive_ms and now - hub.last_suspected_ms > REPLACE_INTERVAL_MS
-    )
+    """Whether set-ups on it get no whole message back: its lab hub may still answer on another connection."""
+    is_suspect = link.was_stalled or link.unresponsive_for_ms(now) > unresponsive_ms
+    return is_suspect and now - hub.last_suspected_ms > REPLACE_INTERVAL_MS
 
 
 def _is_abandoned(current: HubLink | None, link: HubLink, now: float) -> bool:
     """Whether to give up a replaced connection: the new one gets answers, or too long has passed."""
-    newer_answers = current is not None and current.last_answer_ms > link.probed_ms
-    return (
-        link.probed_ms > 0
-        and link.last_received_ms < link.probed_ms
-        and now - link.probed_ms > (PROBE_REPLY_TIMEOUT_MS if newer_answers else MAX_UNRESPONSIVE_MS)
-    )
+    if link.probed_ms <= 0 or (link.last_received_ms >= link.probed_ms and not link.was_stalled):
+        return False
+    if current is not None and current.last_answer_ms > link.probed_ms:
+        return now - link.probed_ms > PROBE_REPLY_TIMEOUT_MS
+    return now - link.probed_ms > MAX_UNRESPONSIVE_MS
 
 
 def _overdue_links(hub: Hub, now: float, make_room: bool) -> list[HubLink]:
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -110,6 +110,7 @@
         self.paused = False  # it was read slowly at least once
         self.stop_reason = ""  # why no more is read; empty: it is read
         self.handled_bytes = 0  # bytes received whose messages have been handled
+        self.partial_since_ms = 0.0  # since when a message is incomplete; 0 if none is
 
     def stop_reading(self, reason: str) -> None:
         """Ends the reading as a malformed stream does: set-ups that came here are answered first."""
@@ -314,8 +315,10 @@
             if was_partial or framer.buffer:
                 self._count_partial_bytes(len(framer.buffer))
             if not framer.buffer:
+                self.partial_since_ms = 0.0
                 due_ms = NO_DEADLINE if completed else due_ms
             elif completed or not was_partial:
+                self.partial_since_ms = self.last_received_ms
                 due_ms = min(
                     self.last_received_ms + self.MESSAGE_TIMEOUT_MS, NO_DEADLINE if completed else due_ms
                 )
@@ -429,9 +432,13 @@
 
 
 class HubLink(Link):
-    """A connection to a lab hub. Hubs write each message at once: an incomplete one breaks the framing."""
+    """A connection to a lab hub.
 
-    MESSAGE_TIMEOUT_MS = 400.0
+    A message that stays incomplete may have been cut short, and swallow those after it: the connection is
+    replaced then, but read on, since its lab hub may only be slow.
+    """
+
+    STALL_TIMEOUT_MS = 400.0  # from the first byte of a message
 
     def __init__(
         self,
@@ -451,6 +458,7 @@
         self.last_answer_ms = 0.0  # the last final answer to a set-up
         self.pending_sends: dict[str, PendingSend] = {}  # of the set-ups sent here, by call
         self.reader_started = False
+        self.was_stalled = False  # at the last check of its lab hub
 
     def start(self) -> None:
         """Starts both threads, the reader first; after a RuntimeError it may be called again.
@@ -467,6 +475,11 @@
         """Whether a message came here after the last probe."""
         return self.last_received_ms > self.probed_ms > 0
 
+    def is_stalled(self, now: float) -> bool:
+        """Whether a message has been incomplete for too long."""
+        partial_since_ms = self.partial_since_ms
+        return partial_since_ms > 0 and now - partial_since_ms > self.STALL_TIMEOUT_MS
+
     def withdraw(self, call: str) -> bool:
         """Withdraws a set-up that still waits to be written; False if it is being or was written."""
         pending_send = self.pending_sends.pop(call, None)
