Lab hubs: a connection on which nothing has come yet is kept for 7 s

Seen: a stand-in hub that speaks 6 s after each message or connection was heard at 6 and 8.5 s and then not for 11.4 s: its connections were given up after 5 s of silence, and those opened to recover releases took their place, so that few got as old as its answer. At 3 s it was always heard. Change: a replaced connection on which nothing has come yet is given up after 7 s, after which a silent hub's calls are over anyway; at once as before when the hub answers on a newer one.

--- a/landingdeal/net/hub_check.py
+++ b/landingdeal/net/hub_check.py
@@ -15,6 +15,7 @@
 MAX_UNRESPONSIVE_MS = 2500.0
 REPLACE_INTERVAL_MS = 1000.0  # at least, between replacements for unanswered set-ups
 FAILED_SILENCE_MS = 7000.0  # then its calls are released: callers must be notified within 8 s of their end
+FIRST_MESSAGE_TIMEOUT_MS = 7000.0  # from the opening of a connection, while none of its lab hub gets answers
 PROBE_REPLY_TIMEOUT_MS = 250.0  # for a replaced connection to show life while the new one gets answers
 FINISH_NOTICE_MS = 1000.0  # for a lab hub to close a connection that this side has closed
 FINISH_TIMEOUT_MS = 10_000.0  # then it is closed unread; what comes late is still received until then
@@ -110,11 +111,16 @@
 
 
 def _is_abandoned(current: HubLink | None, link: HubLink, now: float) -> bool:
-    """Whether to give up a replaced connection: the new one gets answers, or too long has passed."""
+    """Whether to give up a replaced connection: the new one gets answers, or too long has passed.
+
+    One on which nothing has come yet is kept for longer: a slow lab hub would never be heard otherwise.
+    """
     if link.probed_ms <= 0 or (link.last_received_ms >= link.probed_ms and not link.was_stalled):
         return False
     if current is not None and current.last_answer_ms > link.probed_ms:
         return now - link.probed_ms > PROBE_REPLY_TIMEOUT_MS
+    if not link.heard and now - link.opened_ms < FIRST_MESSAGE_TIMEOUT_MS:
+        return False
     return now - link.probed_ms > MAX_UNRESPONSIVE_MS
 
 
--- a/landingdeal/net/link.py
+++ b/landingdeal/net/link.py
@@ -475,6 +475,11 @@
         """Whether a message came here after the last probe."""
         return self.last_received_ms > self.probed_ms > 0
 
+    @property
+    def heard(self) -> bool:
+        """Whether anything came here."""
+        return self.last_received_ms > self.opened_ms
+
     def is_stalled(self, now: float) -> bool:
         """Whether a message has been incomplete for too long."""
         partial_since_ms = self.partial_since_ms
--- a/tests/test_slow_hubs.py
+++ b/tests/test_slow_hubs.py
@@ -128,6 +128,7 @@
     ("late_s", "message_s", "unheard_s", "run_s"),
     [
         (3.0, 0.0, 5.0, 10.0),
+        (6.0, 0.0, 7.5, 20.0),
         (0.0, 0.6, 4.0, 10.0),
         (0.0, 1.5, 4.0, 10.0),
         (2.0, 1.5, 6.0, 15.0),
