Both fronts: a hub whose connects take longer than the dial timeout is connected

Seen: with a stand-in for dial whose connects take 0.7, 3 or 6.5 s, a hub on the platform's front (dial timeout of the settings, 0.5 s) was never connected, and one on the SIP front over TCP (2 s) never with 3 s. On loopback the system completes a connect or drops it, so that no real peer shows this here. Change: after a dial that was not up in time one further connect goes on for 7 s beside those to come, one per hub; what it brings becomes the hub's connection, or on the platform one for its releases if there is one by then. Set-ups still fail when the settings say so. Result: four new tests fail without the change and pass with it; the tests of hubs, SIP, waiting messages and the platform pass (257; the three platform tests of this commit were counting the dials of other tests' hubs then, and pass since that is mended in them).

--- a/landingdeal/net/hub.py
+++ b/landingdeal/net/hub.py
@@ -54,6 +54,7 @@
         self.removed = self.draining = False
         self.keeper_running = False  # its thread keeps it connected
         self.recovering = False  # a further connection is being opened
+        self.slow_dial_running = False  # a connect goes on that was not up in time
         self.last_received_ms = self.connected_ms = now_ms()
         self.last_return_ms = 0.0  # when a silence ended that was long enough for a restart
         self.refused_connects = 0  # in a row, while no other connection is sound
--- a/landingdeal/net/hub_connector.py
+++ b/landingdeal/net/hub_connector.py
@@ -18,6 +18,7 @@
 from landingdeal.threads import start_thread
 
 REDIAL_INTERVAL_MS = 250.0  # after a failed connect
+SLOW_DIAL_TIMEOUT_MS = 7000.0  # of a connect beside those that the dial timeout ends
 
 
 class HubConnector:
@@ -51,6 +52,8 @@
             try:
                 link = self._dial(hub)
             except OSError as error:
+                if isinstance(error, TimeoutError):
+                    self._start_slow_dial(hub)
                 self._connect_failed(hub, error)
                 continue
             self.on_connected(hub, link)
@@ -97,12 +100,13 @@
             return suspect_reset_ms
         return now if hub.refused_connects == 2 else 0.0
 
-    def _dial(self, hub: Hub) -> HubLink:
-        """Connects to the address that the hub has now; raises OSError."""
+    def _dial(self, hub: Hub, timeout_ms: float | None = None) -> HubLink:
+        """Connects to the address that the hub has now, by default in the dial timeout; raises OSError."""
         with hub.changed:
             address = hub.host, hub.port
         dialled_ms = now_ms()
-        link = self._new_link(hub, dial(*address, dialled_ms + self.dial_timeout_ms))
+        deadline_ms = dialled_ms + (self.dial_timeout_ms if timeout_ms is None else timeout_ms)
+        link = self._new_link(hub, dial(*address, deadline_ms))
         link.dialled_address, link.dialled_ms = address, dialled_ms
         return link
 
@@ -125,6 +129,7 @@
                 link.sock.close()
                 return
             hub.link = link
+            hub.changed.notify()  # the keeper may be about to dial
             hub.pending[link] = {}
             hub.calls.connection_opened(link.number, link.opened_ms)
             hub.connected_ms = now_ms()
@@ -166,6 +171,51 @@
         for attempt in withdrawn:
             self.inbox.put(AttemptFailed(attempt, AttemptOutcome.UNREACHABLE))
 
+    # --- a connect that takes longer than the dial timeout ---
+
+    def _start_slow_dial(self, hub: Hub) -> None:
+        """Connects in a thread of its own, for longer, beside the dials that go on; once at a time.
+
+        A lab hub whose connects all take longer than the dial timeout would never be connected otherwise.
+        """
+        with hub.changed:
+            is_connected = hub.link is not None and hub.link.alive
+            if hub.slow_dial_running or (is_connected and not hub.recovering):
+                return
+            hub.slow_dial_running = True
+        try:
+            start_thread("slow-dial", lambda: self._dial_slowly(hub))
+        except RuntimeError:  # the system has no thread left
+            self._end_slow_dial(hub)
+
+    @staticmethod
+    def _end_slow_dial(hub: Hub) -> None:
+        with hub.changed:
+            hub.slow_dial_running = False
+
+    def _dial_slowly(self, hub: Hub) -> None:
+        try:
+            link = self._dial(hub, SLOW_DIAL_TIMEOUT_MS)
+            self._take_slow_connection(hub, link)
+        except OSError as error:
+            log_event("hub_slow_dial_failed", hub=hub.name, error=f"{type(error).__name__} {error}")
+        finally:
+            self._end_slow_dial(hub)
+
+    def _take_slow_connection(self, hub: Hub, link: HubLink) -> None:
+        with hub.changed:
+            is_needed = hub.is_needed()
+            is_connected = hub.link is not None and hub.link.alive
+        log_event("hub_slow_dial", hub=hub.name, link=link.number, took_ms=now_ms() - link.dialled_ms)
+        if not is_needed:
+            link.sock.close()
+        elif is_connected:  # its releases may come here: it is not closed unread
+            self._take_recovery_connection(hub, link)
+        else:
+            self.on_connected(hub, link)
+
+    # --- recovery ---
+
     def start_recovery(self, hub: Hub) -> None:
         """Opens a further connection in a thread of its own: the lab hub repeats its releases on it."""
         try:
@@ -178,16 +228,22 @@
             link = self._dial(hub)
         except Exception as error:  # whatever it is, the calls in doubt need another one
             log_event("hub_recovery_failed", hub=hub.name, error=f"{type(error).__name__} {error}")
+            if isinstance(error, TimeoutError):
+                self._start_slow_dial(hub)
             self._recovery_failed(hub)
             return
+        with hub.changed:
+            hub.recovering = False
+        self._take_recovery_connection(hub, link)
+
+    def _take_recovery_connection(self, hub: Hub, link: HubLink) -> None:
+        """Takes a further connection, on which the lab hub repeats its releases; no set-up is sent there."""
         link.for_recovery, link.probed_ms = True, now_ms()  # its first message shows that it is alive
         with hub.changed:
             if not hub.is_peer_of(link):
                 link.sock.close()
-                hub.recovering = False
                 hub.calls.recovery_failed(now_ms())
                 return
-            hub.recovering = False
             hub.pending[link] = {}
             in_doubt = hub.calls.in_doubt()
             hub.calls.recovery_opened(link.number, link.dialled_ms)
--- a/landingdeal/sip/transport.py
+++ b/landingdeal/sip/transport.py
@@ -21,6 +21,7 @@
 from landingdeal.threads import start_thread
 
 DIAL_TIMEOUT_MS = 2000.0
+SLOW_DIAL_TIMEOUT_MS = 7000.0  # of a connect to a lab hub that was not up in time; nothing waits for it
 MAX_QUEUED_MESSAGES = 64  # messages that wait for one connection to be established
 MAX_CONNECTIONS = 400
 DROP_LOG_INTERVAL_MS = 1000.0
@@ -113,6 +114,7 @@
         self.alive = True
         self.was_connected = False
         self.dialled = dialled
+        self._dial_settled = False
 
     def send(self, message: Message, pending: PendingSend | None = None) -> bool:
         queued = QueuedMessage(message, pending)
@@ -147,6 +149,12 @@
             self.tap.message_passed("TCP", self.local, (self.host, self.port), queued.message)
         return True
 
+    def settle_dial(self) -> bool:
+        """True for the first dial that has come up or failed, which decides what becomes of the flow."""
+        with self.lock:
+            is_first, self._dial_settled = not self._dial_settled, True
+        return is_first
+
     def connected(self, link: Link) -> None:
         """Takes the established connection and passes the queued messages on to it."""
         with self.lock:
@@ -179,6 +187,7 @@
         self.lock = threading.Lock()
         self.flows: dict[Link, TcpFlow] = {}
         self.outgoing: dict[tuple[str, int], TcpFlow] = {}
+        self.slow_dials: set[tuple[str, int]] = set()  # the lab hubs with a connect that was not up in time
         self.oversized_datagrams = self.dropped_datagrams = 0
         self.next_drop_log_ms = 0.0
         self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -227,12 +236,46 @@
     def _dial(self, flow: TcpFlow) -> None:
         try:
             sock = dial(flow.host, flow.port, now_ms() + DIAL_TIMEOUT_MS)
-        except OSError:
-            self._dial_failed(flow)
+        except OSError as error:
+            if flow.settle_dial():
+                self._dial_failed(flow)
+            if isinstance(error, TimeoutError) and self.is_to_hub(flow):
+                self._dial_slowly(flow.host, flow.port)
+            return
+        if not flow.settle_dial():
+            sock.close()
             return
         with contextlib.suppress(RuntimeError):  # the connection has ended, which is logged and reported
             self._start_connection(flow, sock)
 
+    def _dial_slowly(self, host: str, port: int) -> None:
+        """Connects to a lab hub for the messages to come, for longer, beside their own dials; once at a time.
+
+        One whose connects all take longer than the dial timeout would never be connected otherwise.
+        """
+        address = host, port
+        with self.lock:
+            if address in self.slow_dials:
+                return
+            self.slow_dials.add(address)
+        try:
+            sock = dial(host, port, now_ms() + SLOW_DIAL_TIMEOUT_MS)
+        except OSError as error:
+            log_event("hub_slow_dial_failed", host=host, port=port, error=f"{type(error).__name__} {error}")
+            return
+        finally:
+            with self.lock:
+                self.slow_dials.discard(address)
+        with self.lock:
+            flow = self.outgoing.get(address)
+            if flow is None or not flow.alive:
+                flow = self.outgoing[address] = TcpFlow(host, port, self.tap, dialled=True)
+        if not flow.settle_dial():
+            sock.close()
+            return
+        with contextlib.suppress(RuntimeError):
+            self._start_connection(flow, sock)
+
     def _dial_failed(self, flow: TcpFlow) -> None:
         flow.alive = False
         self.on_flow_ended(flow)
--- a/tests/test_sip_waiting.py
+++ b/tests/test_sip_waiting.py
@@ -291,6 +291,26 @@
     play(front, "hub1 expect BYE a\n hub1 send 200 a of=BYE\n hub1 wait 200")
 
 
+def test_a_hub_whose_connects_take_longer_than_the_dial_timeout_is_connected(
+    front: InProcessFront, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against dials that each end sooner than the connect, with the next one starting anew."""
+
+    def slow_dial(host: str, port: int, deadline_ms: float) -> socket.socket:
+        time.sleep(min(seconds_until(deadline_ms), 3.0))
+        if now_ms() >= deadline_ms:
+            raise TimeoutError("timed out")
+        return dial(host, port, now_ms() + TIMEOUT_S * 1000)
+
+    monkeypatch.setattr("landingdeal.sip.transport.dial", slow_dial)
+    front.front.probe(b"hub1", now_ms() + 100)
+    assert not front.next_event(ProbeCompleted).succeeded
+    time.sleep(DIAL_TIMEOUT_MS / 1000 + 3.5)
+    front.front.probe(b"hub1", now_ms() + 1000)
+    play(front, "hub1 expect OPTIONS a\n hub1 send 200 a of=OPTIONS")
+    assert front.next_event(ProbeCompleted).succeeded
+
+
 def test_a_hub_that_was_found_unreachable_is_released_when_it_can_be_reached(
     front: InProcessFront, held: HeldConnections
 ) -> None:
--- a/tests/test_slow_hubs.py
+++ b/tests/test_slow_hubs.py
@@ -10,15 +10,18 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 import pytest
 
 from badgerstile.wire import read_settings
-from landingdeal.clock import now_ms
+from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.events import Attempt, AttemptEstablished, CoreEvent, LoadReported, Offer
 from landingdeal.core.inbox import Inbox
+from landingdeal.net import hub_connector
 from landingdeal.net.hubs import HubConnections
+from landingdeal.net.link import dial
 from landingdeal.net.transaction import CallerTransaction
 from landingdeal.sip.message import Framer, MalformedMessage, Message, encode, request, response
 from tests.scenario import BODY, SETTINGS
@@ -37,11 +40,12 @@
         self.connections = 0
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self.listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def address(self) -> str:
-        return f"127.0.0.1:{self.listener.getsockname()[1]}"
+        return f"127.0.0.1:{self.port}"
 
     def _accept(self) -> None:
         with contextlib.suppress(OSError):
@@ -154,3 +158,41 @@
         established = AttemptEstablished(attempt, BODY)
         harness.run(3.0, lambda: established in [event for _, event in harness.events])
         assert established in [event for _, event in harness.events]
+
+
+class SlowConnects:
+    """Stands in for `dial`: each connect takes a while, as to a peer that is far away or crowded."""
+
+    def __init__(self, connect_s: float) -> None:
+        self.connect_s = connect_s
+        self.under_way: Counter[int] = Counter()  # by port: peers of earlier tests are still dialled
+        self.most_under_way: Counter[int] = Counter()
+        self.lock = threading.Lock()
+
+    def dial(self, host: str, port: int, deadline_ms: float) -> socket.socket:
+        with self.lock:
+            self.under_way[port] += 1
+            self.most_under_way[port] = max(self.most_under_way[port], self.under_way[port])
+        try:
+            remaining_s = seconds_until(deadline_ms)
+            time.sleep(min(self.connect_s, remaining_s))
+            if remaining_s < self.connect_s:
+                raise TimeoutError("timed out")
+            return dial(host, port, deadline_ms + 1000)
+        finally:
+            with self.lock:
+                self.under_way[port] -= 1
+
+
+@pytest.mark.parametrize("connect_s", [0.7, 3.0, 6.5])
+def test_a_hub_whose_connects_take_longer_than_the_dial_timeout_is_connected(
+    connect_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against dials that each end sooner than the connect, with the next one starting anew."""
+    connects = SlowConnects(connect_s)
+    monkeypatch.setattr(hub_connector, "dial", connects.dial)
+    with slow_hub() as harness:
+        harness.run(connect_s + 1.5, lambda: bool(harness.events))
+        assert [type(event) for _, event in harness.events] == [LoadReported]
+        assert harness.hubs.all_connected()
+        assert connects.most_under_way[harness.hub.port] <= 2
