--- a/landingdeal/net/bus_connection.py
+++ b/landingdeal/bus/connection.py
@@ -7,11 +7,8 @@
 from enum import Enum
 from typing import Protocol
 
-from landingdeal.clock import now_ms
-from landingdeal.log import log_event, log_exception
-from landingdeal.net.bus_requests import Address
-from landingdeal.net.byte_budget import ByteBudget
-from landingdeal.net.event_stream import (
+from landingdeal.bus.requests import Address
+from landingdeal.bus.stream import (
     EventReceived,
     EventStreamDecoder,
     HeadReceived,
@@ -19,6 +16,9 @@
     StreamEnded,
     StreamError,
 )
+from landingdeal.clock import now_ms
+from landingdeal.log import log_event, log_exception
+from landingdeal.net.byte_budget import ByteBudget
 from landingdeal.net.link import connect
 from landingdeal.threads import start_thread
 
--- a/landingdeal/net/bus.py
+++ b/landingdeal/bus/reader.py
@@ -1,6 +1,6 @@
 """Follows the event bus: applies each event once and in order, from whichever request it comes.
 
-`bus_requests` decides when to ask and what to give up, `bus_connection` carries out one request.
+`requests` decides when to ask and what to give up, `connection` carries out one request.
 """
 
 from __future__ import annotations
@@ -10,13 +10,13 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from landingdeal.bus.connection import BusConnection, End
+from landingdeal.bus.requests import Address, Ask, BusRequests, GiveUp, Stage, WaitingSummary
+from landingdeal.bus.stream import EventReceived, StreamError
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.errors import ConfigError
 from landingdeal.log import log_event, log_text
-from landingdeal.net.bus_connection import BusConnection, End
-from landingdeal.net.bus_requests import Address, Ask, BusRequests, GiveUp, Stage, WaitingSummary
 from landingdeal.net.config import TopologyEvent, parse_topology_event
-from landingdeal.net.event_stream import EventReceived, StreamError
 from landingdeal.threads import start_supervised_thread
 
 MAX_NUMBER_DIGITS = 15  # of an event number
--- a/landingdeal/net/__init__.py
+++ b/landingdeal/net/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's front: callers, lab hubs and the event bus over TCP, and the platform's configuration."""
+"""The platform's front: callers and lab hubs over TCP, and the platform's configuration."""
--- a/landingdeal/service/on_platform.py
+++ b/landingdeal/service/on_platform.py
@@ -6,13 +6,13 @@
 from pathlib import Path
 
 from badgerstile.interface import Health
+from landingdeal.bus.reader import BusReader
 from landingdeal.clock import now_ms, seconds_until
 from landingdeal.core.broker import Broker
 from landingdeal.core.contracts import Contract, Contracts
 from landingdeal.core.events import ContractsChanged, HubListChanged
 from landingdeal.core.inbox import Inbox
 from landingdeal.core.lifecycle import Lifecycle, times_before_kill
-from landingdeal.net.bus import BusReader
 from landingdeal.net.callers import CallerConnections
 from landingdeal.net.config import Config, TopologyEvent, read_config
 from landingdeal.net.hubs import HubConnections
--- a/tests/test_event_bus.py
+++ b/tests/test_bus_reader.py
@@ -17,9 +17,11 @@
 
 import pytest
 
+from badgerstile.interface import Health
+from landingdeal.bus.reader import BusReader
+from landingdeal.clock import now_ms
 from landingdeal.lab.ports import free_port
-from landingdeal.net.bus import BusReader
-from landingdeal.net.config import TopologyEvent
+from landingdeal.net.config import HubAddress, TopologyEvent
 from tests.scenario import PlatformHarness
 
 TOLD_S = 7.0  # what the event bus has to tell counts as told then
@@ -388,3 +390,86 @@
         harness.run_step("hub1", "wait", "500")
     finally:
         harness.end()
+
+
+# --- events that are repeated, unusable or not applied ---
+
+
+EVENT = json.dumps({"offset": 7, "topology": {"snapshot": False, "endpoints": [
+    {"name": "s-1", "address": "127.0.0.1:9", "group": 1, "status": "draining"}]}})  # fmt: skip
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_the_event_bus_is_resumed_after_the_last_event(chunked: bool) -> None:
+    received: queue.Queue[TopologyEvent] = queue.Queue()
+    with socket.create_server(("127.0.0.1", 0)) as bus:
+        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, received.put)
+        reader.start()
+        for offset in (6, 7):  # the second time it has seen event 7, which must not be passed on again
+            sock, _ = bus.accept()
+            with sock:
+                assert f"Last-Event-ID: {offset}\r\n" in sock.recv(4096).decode()
+                body = f": hello\n\nid: 7\ndata: {EVENT}\n\n".encode()
+                if chunked:
+                    parts = body[:30], body[30:]
+                    body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+                encoding_header = "Transfer-Encoding: chunked\r\n" if chunked else ""
+                sock.sendall(f"HTTP/1.1 200 OK\r\n{encoding_header}\r\n".encode() + body)
+                if offset == 6:
+                    event = received.get(timeout=5)
+        reader.stop()
+    assert event.offset == 7 and event.addresses == (HubAddress(b"s-1", "127.0.0.1:9", Health.DRAINING),)
+    assert received.empty()
+
+
+@pytest.mark.parametrize(
+    "damaged",
+    ["{", "[" * 100_000, '{"topology": 1}', '{"offset": 7, "topology": {"endpoints": [1]}}'],
+    ids=["cut short", "too deep", "no list", "no endpoint"],
+)
+def test_an_unusable_event_does_not_hide_later_ones(damaged: str) -> None:
+    received: queue.Queue[TopologyEvent] = queue.Queue()
+    later = EVENT.replace('"offset": 7', '"offset": 8')
+    with socket.create_server(("127.0.0.1", 0)) as bus:
+        bus.settimeout(5)
+        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, received.put)
+        reader.start()
+        for _ in range(2):  # the event may have been cut off: it is requested once more
+            sock, _ = bus.accept()
+            with sock:
+                assert b"Last-Event-ID: 6\r\n" in sock.recv(4096)
+                sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+                with contextlib.suppress(OSError):
+                    sock.sendall(f"id: 7\ndata: {damaged}\n\nid: 8\ndata: {later}\n\n".encode())
+                sock.settimeout(1)
+                with contextlib.suppress(OSError):
+                    sock.recv(1)  # until the reader closes or has read everything
+        assert received.get(timeout=5).offset == 8
+        reader.stop()
+
+
+def test_an_event_that_could_not_be_applied_is_passed_on_again() -> None:
+    received: list[int] = []
+
+    def on_event(event: TopologyEvent) -> None:
+        received.append(event.offset)
+        if len(received) == 1:
+            raise RuntimeError("can't start new thread")
+
+    with socket.create_server(("127.0.0.1", 0)) as bus:
+        bus.settimeout(5)
+        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, on_event)
+        reader.start()
+        for _ in range(2):
+            sock, _ = bus.accept()
+            with sock:
+                assert b"Last-Event-ID: 6\r\n" in sock.recv(4096)
+                sock.sendall(f"HTTP/1.1 200 OK\r\n\r\nid: 7\ndata: {EVENT}\n\n".encode())
+                sock.settimeout(1)
+                with contextlib.suppress(OSError):
+                    sock.recv(1)
+        until = now_ms() + 5000
+        while received != [7, 7] and now_ms() < until:
+            time.sleep(0.01)
+        reader.stop()
+    assert received == [7, 7]
--- a/tests/test_bus_requests.py
+++ b/tests/test_bus_requests.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from landingdeal.net.bus_requests import MAX_OPEN_REQUESTS, MAX_REQUESTS, Ask, BusRequests, GiveUpReason
+from landingdeal.bus.requests import MAX_OPEN_REQUESTS, MAX_REQUESTS, Ask, BusRequests, GiveUpReason
 
 NEVER = float("inf")
 START_MS = 1_000_000.0
--- a/tests/test_event_stream.py
+++ b/tests/test_bus_stream.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from landingdeal.net.event_stream import (
+from landingdeal.bus.stream import (
     EventReceived,
     EventStreamDecoder,
     HeadReceived,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,15 +20,13 @@
 
 import pytest
 
-from badgerstile.interface import AttemptOutcome, Health
+from badgerstile.interface import AttemptOutcome
 from badgerstile.wire import read_settings
 from landingdeal.clock import now_ms
 from landingdeal.core.events import Attempt, AttemptFailed, HubFailed, LoadReported, Offer, ProbeCompleted
 from landingdeal.core.inbox import Inbox
 from landingdeal.lab.ports import free_port
-from landingdeal.net.bus import BusReader
 from landingdeal.net.callers import CallerConnections
-from landingdeal.net.config import HubAddress, TopologyEvent
 from landingdeal.net.hub import MIN_RESTART_MS, Hub
 from landingdeal.net.hubs import HubConnections
 from landingdeal.net.link import MAX_QUEUED_MESSAGES, CallerLink, HubLink, Link
@@ -626,33 +624,6 @@
     assert line in result.stderr and result.stderr.count("\n") == 1
 
 
-EVENT = json.dumps({"offset": 7, "topology": {"snapshot": False, "endpoints": [
-    {"name": "s-1", "address": "127.0.0.1:9", "group": 1, "status": "draining"}]}})  # fmt: skip
-
-
-@pytest.mark.parametrize("chunked", [False, True])
-def test_the_event_bus_is_resumed_after_the_last_event(chunked: bool) -> None:
-    received: queue.Queue[TopologyEvent] = queue.Queue()
-    with socket.create_server(("127.0.0.1", 0)) as bus:
-        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, received.put)
-        reader.start()
-        for offset in (6, 7):  # the second time it has seen event 7, which must not be passed on again
-            sock, _ = bus.accept()
-            with sock:
-                assert f"Last-Event-ID: {offset}\r\n" in sock.recv(4096).decode()
-                body = f": hello\n\nid: 7\ndata: {EVENT}\n\n".encode()
-                if chunked:
-                    parts = body[:30], body[30:]
-                    body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
-                encoding_header = "Transfer-Encoding: chunked\r\n" if chunked else ""
-                sock.sendall(f"HTTP/1.1 200 OK\r\n{encoding_header}\r\n".encode() + body)
-                if offset == 6:
-                    event = received.get(timeout=5)
-        reader.stop()
-    assert event.offset == 7 and event.addresses == (HubAddress(b"s-1", "127.0.0.1:9", Health.DRAINING),)
-    assert received.empty()
-
-
 @pytest.mark.parametrize(("ours", "reset"), [(True, False), (False, True)])
 def test_only_the_peer_can_reset_a_link(ours: bool, reset: bool) -> None:
     ended: queue.Queue[bool] = queue.Queue()
@@ -774,59 +745,6 @@
     assert attempts.qsize() == 3
 
 
-@pytest.mark.parametrize(
-    "damaged",
-    ["{", "[" * 100_000, '{"topology": 1}', '{"offset": 7, "topology": {"endpoints": [1]}}'],
-    ids=["cut short", "too deep", "no list", "no endpoint"],
-)
-def test_an_unusable_event_does_not_hide_later_ones(damaged: str) -> None:
-    received: queue.Queue[TopologyEvent] = queue.Queue()
-    later = EVENT.replace('"offset": 7', '"offset": 8')
-    with socket.create_server(("127.0.0.1", 0)) as bus:
-        bus.settimeout(5)
-        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, received.put)
-        reader.start()
-        for _ in range(2):  # the event may have been cut off: it is requested once more
-            sock, _ = bus.accept()
-            with sock:
-                assert b"Last-Event-ID: 6\r\n" in sock.recv(4096)
-                sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
-                with suppress(OSError):
-                    sock.sendall(f"id: 7\ndata: {damaged}\n\nid: 8\ndata: {later}\n\n".encode())
-                sock.settimeout(1)
-                with suppress(OSError):
-                    sock.recv(1)  # until the reader closes or has read everything
-        assert received.get(timeout=5).offset == 8
-        reader.stop()
-
-
-def test_an_event_that_could_not_be_applied_is_passed_on_again() -> None:
-    received: list[int] = []
-
-    def on_event(event: TopologyEvent) -> None:
-        received.append(event.offset)
-        if len(received) == 1:
-            raise RuntimeError("can't start new thread")
-
-    with socket.create_server(("127.0.0.1", 0)) as bus:
-        bus.settimeout(5)
-        reader = BusReader(("127.0.0.1", bus.getsockname()[1]), 6, on_event)
-        reader.start()
-        for _ in range(2):
-            sock, _ = bus.accept()
-            with sock:
-                assert b"Last-Event-ID: 6\r\n" in sock.recv(4096)
-                sock.sendall(f"HTTP/1.1 200 OK\r\n\r\nid: 7\ndata: {EVENT}\n\n".encode())
-                sock.settimeout(1)
-                with suppress(OSError):
-                    sock.recv(1)
-        until = now_ms() + 5000
-        while received != [7, 7] and now_ms() < until:
-            time.sleep(0.01)
-        reader.stop()
-    assert received == [7, 7]
-
-
 def test_a_thread_that_the_system_refuses_at_first_is_started_later(monkeypatch: pytest.MonkeyPatch) -> None:
     start, attempts = threading.Thread.start, []
 
--- a/tests/test_slow_hubs.py
+++ b/tests/test_slow_hubs.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import socket
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
+from pathlib import Path
 
 import pytest
 
@@ -24,10 +26,11 @@
 from landingdeal.net.link import dial
 from landingdeal.net.transaction import CallerTransaction
 from landingdeal.sip.message import Framer, MalformedMessage, Message, encode, request, response
-from tests.scenario import BODY, SETTINGS
+from tests.scenario import BODY, SETTINGS, PlatformHarness, call_id, play
 
 HUB_NAME = b"h"
 STATE = ("x-state", "x0:40;x1:40")
+CUT_CAUSE = ("reason", "Q.850;cause=41")
 PIECES = 6  # that a slow hub writes a message in
 
 
@@ -196,3 +199,38 @@
         assert [type(event) for _, event in harness.events] == [LoadReported]
         assert harness.hubs.all_connected()
         assert connects.most_under_way[harness.hub.port] <= 2
+
+
+class LateHubHarness(PlatformHarness):
+    """The program as it is after a restart: one hub accepts its connection and speaks late on it."""
+
+    LATE_HUB, LATE_S = "hub2", 6.0
+
+    def _accept(self, name: str, listener: socket.socket) -> None:
+        if name != self.LATE_HUB:
+            super()._accept(name, listener)
+            return
+        with contextlib.suppress(OSError):
+            for number in itertools.count():
+                sock, _ = listener.accept()
+                threading.Thread(target=self._speak_late, args=(sock, number), daemon=True).start()
+
+    def _speak_late(self, sock: socket.socket, number: int) -> None:
+        """A release from before the restart comes on the first connection only."""
+        time.sleep(self.LATE_S)
+        release = request("BYE", "sip:hub@net", ("call-id", call_id("old")), ("cseq", "2 BYE"), CUT_CAUSE)
+        messages = [request("NOTIFY", "sip:state@net", ("call-id", "1"), ("cseq", "1 NOTIFY"), STATE)]
+        messages += [release] if number == 0 else []
+        with sock, contextlib.suppress(OSError):
+            sock.sendall(b"".join(encode(message) for message in messages))
+            while sock.recv(65536):
+                pass
+
+
+def test_a_release_from_before_a_restart_is_passed_on_though_its_hub_speaks_late(tmp_path: Path) -> None:
+    harness = LateHubHarness(tmp_path)
+    try:
+        time.sleep(LateHubHarness.LATE_S)
+        play(harness, "front expect BYE old Reason:Q.850;cause=41")
+    finally:
+        harness.end()
