Lab hubs: a connection for recovery is registered in one step

Cause: split the end of a recovery's dial from the taking of its connection, so that a check between the two could start another one; found by reading. Change: both happen under one hold of the hub's lock, for the connection of a slow dial too.

--- a/landingdeal/net/hub_connector.py
+++ b/landingdeal/net/hub_connector.py
@@ -203,15 +203,20 @@
             self._end_slow_dial(hub)
 
     def _take_slow_connection(self, hub: Hub, link: HubLink) -> None:
+        """Takes the connection as the one for set-ups, or for recovery if there is one by now.
+
+        The lab hub may have written releases to it, so that it is not closed unread.
+        """
+        log_event("hub_slow_dial", hub=hub.name, link=link.number, took_ms=now_ms() - link.dialled_ms)
         with hub.changed:
             is_needed = hub.is_needed()
             is_connected = hub.link is not None and hub.link.alive
-        log_event("hub_slow_dial", hub=hub.name, link=link.number, took_ms=now_ms() - link.dialled_ms)
+            is_taken = is_needed and is_connected and self._register_for_recovery(hub, link)
         if not is_needed:
             link.sock.close()
-        elif is_connected:  # its releases may come here: it is not closed unread
-            self._take_recovery_connection(hub, link)
-        else:
+        elif is_taken:
+            self._start_link(hub, link)
+        elif not is_connected:
             self.on_connected(hub, link)
 
     # --- recovery ---
@@ -234,21 +239,26 @@
             return
         with hub.changed:
             hub.recovering = False
-        self._take_recovery_connection(hub, link)
+            is_taken = self._register_for_recovery(hub, link)
+        if is_taken:
+            self._start_link(hub, link)
 
-    def _take_recovery_connection(self, hub: Hub, link: HubLink) -> None:
-        """Takes a further connection, on which the lab hub repeats its releases; no set-up is sent there."""
+    @staticmethod
+    def _register_for_recovery(hub: Hub, link: HubLink) -> bool:
+        """Takes a further connection, on which the lab hub repeats its releases; no set-up is sent there.
+
+        False, and it is closed, if it leads to another process. The caller holds the lock.
+        """
+        if not hub.is_peer_of(link):
+            link.sock.close()
+            hub.calls.recovery_failed(now_ms())
+            return False
         link.for_recovery, link.probed_ms = True, now_ms()  # its first message shows that it is alive
-        with hub.changed:
-            if not hub.is_peer_of(link):
-                link.sock.close()
-                hub.calls.recovery_failed(now_ms())
-                return
-            hub.pending[link] = {}
-            in_doubt = hub.calls.in_doubt()
-            hub.calls.recovery_opened(link.number, link.dialled_ms)
+        hub.pending[link] = {}
+        in_doubt = hub.calls.in_doubt()
+        hub.calls.recovery_opened(link.number, link.dialled_ms)
         log_event("hub_recovery", hub=hub.name, link=link.number, calls=len(in_doubt))
-        self._start_link(hub, link)
+        return True
 
     @staticmethod
     def _recovery_failed(hub: Hub) -> None:
